--- /dev/null
+++ b/app/goldcrestnotchd/main.cpp
@@ -0,0 +1,1 @@
+int main(){}
--- /dev/null
+++ b/src/goldcrestnotch/catalog/fwd.hpp
@@ -0,0 +1,15 @@
+/// @file
+/// Forward declarations of the catalog module.
+
+#pragma once
+
+namespace goldcrestnotch {
+
+struct Workspace;
+struct Route;
+struct Target;
+struct Move;
+struct Plan;
+class Catalog;
+
+} // namespace goldcrestnotch
--- /dev/null
+++ b/src/goldcrestnotch/core/tokens.hpp
@@ -0,0 +1,47 @@
+/// @file
+/// The unit in which budgets are counted.
+
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace goldcrestnotch {
+
+/// @brief A count of tokens; pools of target slots count in it too.
+class Tokens {
+public:
+  constexpr Tokens() = default;
+  constexpr explicit Tokens(std::int64_t Count) : Value{Count} {}
+
+  [[nodiscard]] constexpr std::int64_t count() const noexcept { return Value; }
+
+  constexpr Tokens &operator+=(Tokens Other) noexcept {
+    Value += Other.Value;
+    return *this;
+  }
+  constexpr Tokens &operator-=(Tokens Other) noexcept {
+    Value -= Other.Value;
+    return *this;
+  }
+  [[nodiscard]] friend constexpr Tokens operator+(Tokens A, Tokens B) noexcept {
+    return Tokens{A.Value + B.Value};
+  }
+  [[nodiscard]] friend constexpr Tokens operator-(Tokens A, Tokens B) noexcept {
+    return Tokens{A.Value - B.Value};
+  }
+  [[nodiscard]] friend constexpr Tokens operator/(Tokens A,
+                                                  std::int64_t N) noexcept {
+    return Tokens{A.Value / N};
+  }
+  [[nodiscard]] friend constexpr Tokens operator*(Tokens A,
+                                                  std::int64_t N) noexcept {
+    return Tokens{A.Value * N};
+  }
+  constexpr auto operator<=>(const Tokens &) const = default;
+
+private:
+  std::int64_t Value = 0;
+};
+
+} // namespace goldcrestnotch
--- /dev/null
+++ b/src/goldcrestnotch/http/fwd.hpp
@@ -0,0 +1,16 @@
+/// @file
+/// Forward declarations of the http module.
+
+#pragma once
+
+namespace goldcrestnotch::http {
+
+struct Request;
+struct Response;
+struct Endpoint;
+struct Limits;
+class Exchange;
+class Server;
+class Client;
+
+} // namespace goldcrestnotch::http
--- /dev/null
+++ b/src/goldcrestnotch/ledger/book.hpp
@@ -0,0 +1,144 @@
+/// @file
+/// The fold of a ledger stream: who holds which part of each pool, what has
+/// been billed, and which calls are claimed. A pure function of the records.
+
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+#include <vector>
+
+#include "goldcrestnotch/core/instant.hpp"
+#include "goldcrestnotch/ledger/record.hpp"
+
+namespace goldcrestnotch {
+
+/// @brief A holder whose draw found too little free.
+struct Shortage {
+  HolderId Holder;
+  Tokens Want;
+  Tokens Floor;
+};
+
+/// @brief One divisible right.
+///
+/// Invariant: `Billed + WrittenOff` and all of `Granted` and `Doubt` together
+/// never exceed `Total`.
+struct Pool {
+  Tokens Total;
+  Tokens Billed;
+  Tokens WrittenOff;
+  std::map<HolderId, Tokens> Granted; ///< Each above zero.
+  std::map<HolderId, Tokens> Doubt;   ///< Grants of dead holders, not settled.
+  std::vector<Shortage> Short;        ///< First come, first served.
+
+  /// @brief What no holder has.
+  [[nodiscard]] Tokens free() const noexcept;
+  /// @brief What is neither spent nor in doubt.
+  [[nodiscard]] Tokens remaining() const noexcept;
+  [[nodiscard]] Tokens granted(const HolderId &Holder) const noexcept;
+};
+
+/// @brief The state of a claimed call.
+struct ClaimState {
+  HolderId Holder;
+  LogTime Since;
+  std::optional<Outcome> End;
+};
+
+/// @brief Counts of records that changed nothing, by cause.
+struct BookCounters {
+  std::uint64_t Repeated = 0;     ///< Batches already applied.
+  std::uint64_t Retired = 0;      ///< Batches of dead holders.
+  std::uint64_t RepeatedBills = 0; ///< Requests billed before.
+  std::uint64_t Refused = 0;      ///< Items that would break an invariant.
+};
+
+/// @brief The state of one ledger stream after a prefix of its records.
+class Book {
+public:
+  /// @brief Applies the next record.
+  /// @param Offset Its offset; offsets already applied are passed over.
+  /// @param When Its log time.
+  void apply(std::uint64_t Offset, LogTime When, const Batch &Record);
+
+  /// @brief The first offset not applied.
+  [[nodiscard]] std::uint64_t next() const noexcept { return Next; }
+  /// @brief Passes over a record that is no batch.
+  void skip(std::uint64_t Offset) noexcept;
+  [[nodiscard]] LogTime time() const noexcept { return Time; }
+  [[nodiscard]] const std::map<PoolId, Pool> &pools() const noexcept {
+    return Pools;
+  }
+  /// @brief The pool, or nothing if no record names it.
+  [[nodiscard]] const Pool *find(const PoolId &Name) const;
+  [[nodiscard]] const ClaimState *claim(const RequestId &Key) const;
+  /// @brief The last sequence number applied of a holder.
+  [[nodiscard]] std::uint64_t sequence(const HolderId &Holder) const;
+  /// @brief The live incarnation of a VM, or zero.
+  [[nodiscard]] std::uint64_t incarnation(const VmId &Vm) const;
+  [[nodiscard]] bool retired(const HolderId &Holder) const;
+  /// @brief Whether a confirmed plan's top-up has been applied.
+  [[nodiscard]] bool contains(const PlanId &Plan) const;
+  /// @brief Whether a request's bill is remembered.
+  [[nodiscard]] bool billed(const RequestId &Request) const;
+  /// @brief Dead holders with grants that are not settled.
+  [[nodiscard]] std::set<HolderId> unsettled() const;
+  /// @brief Holders that are not retired.
+  [[nodiscard]] std::vector<HolderId> holders() const;
+  [[nodiscard]] const BookCounters &counters() const noexcept {
+    return Counters;
+  }
+
+  /// @brief The whole state as text, a function of the records applied.
+  [[nodiscard]] std::string save() const;
+  /// @brief Restores what `save` gave.
+  /// @throws std::invalid_argument if the text is no saved book.
+  [[nodiscard]] static Book load(std::string_view Text);
+
+private:
+  friend struct BookCodec;
+
+  /// @brief A remembered bill; `Keyed` ones stay longer.
+  struct Remembered {
+    LogTime When;
+    std::uint64_t Hash = 0;
+  };
+
+  void take(const Batch &Record, const Join &What);
+  void take(const Batch &Record, const TopUp &What);
+  void take(const Batch &Record, const Draw &What);
+  void take(const Batch &Record, const Bill &What);
+  void take(const Batch &Record, const Return &What);
+  void take(const Batch &Record, const Claim &What);
+  void take(const Batch &Record, const Outcome &What);
+  void take(const Batch &Record, const Release &What);
+  void take(const Batch &Record, const Retire &What);
+  void take(const Batch &Record, const Settle &What);
+
+  void retire(const HolderId &Dead);
+  void serve(Pool &From);
+  void remember(const Bill &What);
+  void forget();
+
+  std::uint64_t Next = 0;
+  LogTime Time{};
+  std::map<PoolId, Pool> Pools;
+  std::map<RequestId, ClaimState> Claims;
+  std::deque<std::pair<LogTime, RequestId>> ClaimAges; ///< Oldest first.
+  std::map<VmId, std::uint64_t> Incarnations;
+  std::map<HolderId, std::uint64_t> Sequences; ///< Live holders only.
+  std::set<PlanId> Plans;
+  std::unordered_set<std::uint64_t> BilledHashes;
+  std::deque<Remembered> Unkeyed; ///< Oldest first.
+  std::deque<Remembered> Keyed;   ///< Oldest first.
+  BookCounters Counters;
+};
+
+} // namespace goldcrestnotch
--- /dev/null
+++ b/src/goldcrestnotch/ledger/book_codec.cpp
@@ -0,0 +1,182 @@
+/// @file
+/// Saving and loading a book as JSON, for snapshots.
+
+#include <stdexcept>
+
+#include <nlohmann/json.hpp>
+
+#include "goldcrestnotch/ledger/book.hpp"
+
+namespace goldcrestnotch {
+
+using nlohmann::json;
+
+namespace internal {
+
+[[nodiscard]] static std::int64_t millis(LogTime When) {
+  return When.time_since_epoch().count();
+}
+
+[[nodiscard]] static LogTime logTime(const json &Value) {
+  return LogTime{Millis{Value.get<std::int64_t>()}};
+}
+
+[[nodiscard]] static json save(const std::map<HolderId, Tokens> &Parts) {
+  json Result = json::object();
+  for (const auto &[Holder, Amount] : Parts) {
+    Result[Holder.str()] = Amount.count();
+  }
+  return Result;
+}
+
+[[nodiscard]] static std::map<HolderId, Tokens> loadParts(const json &Source) {
+  std::map<HolderId, Tokens> Result;
+  for (const auto &[Name, Amount] : Source.items()) {
+    Result.emplace(HolderId::parse(Name), Tokens{Amount.get<std::int64_t>()});
+  }
+  return Result;
+}
+
+[[nodiscard]] static json save(const Pool &Source) {
+  json Short = json::array();
+  for (const auto &S : Source.Short) {
+    Short.push_back({S.Holder.str(), S.Want.count(), S.Floor.count()});
+  }
+  return {{"t", Source.Total.count()},      {"b", Source.Billed.count()},
+          {"w", Source.WrittenOff.count()}, {"g", save(Source.Granted)},
+          {"d", save(Source.Doubt)},        {"s", Short}};
+}
+
+[[nodiscard]] static Pool loadPool(const json &Source) {
+  Pool Result;
+  Result.Total = Tokens{Source.at("t").get<std::int64_t>()};
+  Result.Billed = Tokens{Source.at("b").get<std::int64_t>()};
+  Result.WrittenOff = Tokens{Source.at("w").get<std::int64_t>()};
+  Result.Granted = loadParts(Source.at("g"));
+  Result.Doubt = loadParts(Source.at("d"));
+  for (const auto &S : Source.at("s")) {
+    Result.Short.push_back({HolderId::parse(S.at(0).get<std::string>()),
+                            Tokens{S.at(1).get<std::int64_t>()},
+                            Tokens{S.at(2).get<std::int64_t>()}});
+  }
+  return Result;
+}
+
+[[nodiscard]] static json save(const RequestId &Key, const ClaimState &Source) {
+  json Result{{"k", Key.str()},
+              {"h", Source.Holder.str()},
+              {"t", millis(Source.Since)}};
+  if (Source.End) {
+    Result["e"] = {std::string{toString(Source.End->Ran)}, Source.End->Status,
+                   Source.End->ContentType, Source.End->Body};
+  }
+  return Result;
+}
+
+[[nodiscard]] static ClaimState loadClaim(const json &Source) {
+  ClaimState Result{HolderId::parse(Source.at("h").get<std::string>()),
+                    logTime(Source.at("t")),
+                    {}};
+  if (Source.contains("e")) {
+    const auto &End = Source.at("e");
+    Result.End = Outcome{RequestId{Source.at("k").get<std::string>()},
+                         verdictOf(End.at(0).get<std::string>()),
+                         End.at(1).get<int>(), End.at(2).get<std::string>(),
+                         End.at(3).get<std::string>()};
+  }
+  return Result;
+}
+
+} // namespace internal
+
+/// @brief Reaches into a book for `save` and `load`.
+struct BookCodec {
+  using Ages = std::deque<Book::Remembered>;
+
+  [[nodiscard]] static json save(const Ages &Source) {
+    json Result = json::array();
+    for (const auto &One : Source) {
+      Result.push_back({internal::millis(One.When), One.Hash});
+    }
+    return Result;
+  }
+
+  [[nodiscard]] static Ages loadAges(const json &Source, Book &Target) {
+    Ages Result;
+    for (const auto &One : Source) {
+      Result.push_back(
+          {internal::logTime(One.at(0)), One.at(1).get<std::uint64_t>()});
+      Target.BilledHashes.insert(Result.back().Hash);
+    }
+    return Result;
+  }
+
+  [[nodiscard]] static json save(const Book &Source) {
+    json Result{{"next", Source.Next},
+                {"time", internal::millis(Source.Time)},
+                {"keyed", save(Source.Keyed)},
+                {"unkeyed", save(Source.Unkeyed)}};
+    for (const auto &[Name, Target] : Source.Pools) {
+      Result["pools"][Name.str()] = internal::save(Target);
+    }
+    for (const auto &[When, Key] : Source.ClaimAges) {
+      Result["claims"].push_back(internal::save(Key, Source.Claims.at(Key)));
+    }
+    for (const auto &[Vm, Incarnation] : Source.Incarnations) {
+      Result["incarnations"][Vm.str()] = Incarnation;
+    }
+    for (const auto &[Holder, Sequence] : Source.Sequences) {
+      Result["sequences"][Holder.str()] = Sequence;
+    }
+    for (const auto &Plan : Source.Plans) {
+      Result["plans"].push_back(Plan.str());
+    }
+    return Result;
+  }
+
+  [[nodiscard]] static Book load(const json &Source) {
+    Book Result;
+    Result.Next = Source.at("next").get<std::uint64_t>();
+    Result.Time = internal::logTime(Source.at("time"));
+    Result.Keyed = loadAges(Source.at("keyed"), Result);
+    Result.Unkeyed = loadAges(Source.at("unkeyed"), Result);
+    const auto Object = [&](const char *Name) {
+      return Source.value(Name, json::object());
+    };
+    for (const auto &[Name, Target] : Object("pools").items()) {
+      Result.Pools.emplace(PoolId{Name}, internal::loadPool(Target));
+    }
+    for (const auto &One : Source.value("claims", json::array())) {
+      const RequestId Key{One.at("k").get<std::string>()};
+      const auto State = internal::loadClaim(One);
+      Result.ClaimAges.emplace_back(State.Since, Key);
+      Result.Claims.emplace(Key, State);
+    }
+    for (const auto &[Vm, Incarnation] : Object("incarnations").items()) {
+      Result.Incarnations.emplace(VmId{Vm}, Incarnation.get<std::uint64_t>());
+    }
+    for (const auto &[Name, Sequence] : Object("sequences").items()) {
+      Result.Sequences.emplace(HolderId::parse(Name),
+                               Sequence.get<std::uint64_t>());
+    }
+    for (const auto &Plan : Source.value("plans", json::array())) {
+      Result.Plans.emplace(Plan.get<std::string>());
+    }
+    return Result;
+  }
+};
+
+std::string Book::save() const {
+  return BookCodec::save(*this).dump(-1, ' ', false,
+                                     json::error_handler_t::replace);
+}
+
+Book Book::load(std::string_view Text) {
+  try {
+    return BookCodec::load(json::parse(Text));
+  } catch (const json::exception &Failure) {
+    throw std::invalid_argument{Failure.what()};
+  }
+}
+
+} // namespace goldcrestnotch
--- /dev/null
+++ b/src/goldcrestnotch/ledger/fwd.hpp
@@ -0,0 +1,15 @@
+/// @file
+/// Forward declarations of the ledger module.
+
+#pragma once
+
+namespace goldcrestnotch {
+
+struct HolderId;
+struct Batch;
+class Book;
+class Journal;
+struct DemandSizing;
+template <typename Sizing = DemandSizing> class Holder;
+
+} // namespace goldcrestnotch
