Serve a request end to end through separate processes

Found on the way: a saved book did not load (range-for over the items of a temporary JSON value); Book.SavedStateGoesOnAsTheOriginal failed, now passes.

--- a/app/goldcrestnotchd/main.cpp
+++ b/app/goldcrestnotchd/main.cpp
@@ -1,1 +1,98 @@
-int main(){}
+/// @file
+/// The daemon: reads the command line and settings, then runs the kernel.
+
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+
+#include <boost/program_options.hpp>
+#include <boost/system/system_error.hpp>
+
+#include "goldcrestnotch/kernel/kernel.hpp"
+#include "goldcrestnotch/settings/settings.hpp"
+#include "goldcrestnotch/telemetry/log.hpp"
+
+namespace {
+
+using namespace goldcrestnotch;
+namespace po = boost::program_options;
+
+constexpr int ExitFailed = 1;
+constexpr int ExitUsage = 2;
+
+po::options_description describeOptions() {
+  po::options_description Options{"goldcrestnotchd [options]"};
+  Options.add_options()("help,h", "show this text")("version,V",
+                                                    "show the version")(
+      "config,c", po::value<std::string>(),
+      "the settings file (TOML)")("check", "check the settings and end");
+  return Options;
+}
+
+std::string readFile(const std::string &Name) {
+  const std::ifstream In{Name};
+  if (!In) {
+    throw SettingsError{{Name + ": cannot be read"}};
+  }
+  std::ostringstream Text;
+  Text << In.rdbuf();
+  return Text.str();
+}
+
+/// A later start has a greater number: the clock in milliseconds.
+std::uint64_t newIncarnation() {
+  const auto Since = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Millis>(Since).count());
+}
+
+int serve(const Settings &Given) {
+  startLogging(Given.Level, Given.Vm.str());
+  try {
+    Kernel Host{Given, HolderId{Given.Vm, newIncarnation()}};
+    return Host.run();
+  } catch (const boost::system::system_error &Failure) {
+    log(LogLevel::Error, "vm.start_failed", {{"cause", Failure.what()}});
+    return ExitFailed;
+  }
+}
+
+int run(int Count, char **Words) {
+  const auto Options = describeOptions();
+  po::variables_map Chosen;
+  po::store(po::parse_command_line(Count, Words, Options), Chosen);
+  if (Chosen.contains("help")) {
+    std::cout << Options;
+    return 0;
+  }
+  if (Chosen.contains("version")) {
+    std::cout << "goldcrestnotchd " GOLDCRESTNOTCH_VERSION "\n";
+    return 0;
+  }
+  if (!Chosen.contains("config")) {
+    std::cerr << "goldcrestnotchd: --config is required; see --help\n";
+    return ExitUsage;
+  }
+  const auto Name = Chosen["config"].as<std::string>();
+  const auto Given = Settings::parse(readFile(Name), Name);
+  if (Chosen.contains("check")) {
+    std::cout << Name << ": the settings are good\n";
+    return 0;
+  }
+  return serve(Given);
+}
+
+} // namespace
+
+int main(int Count, char **Words) {
+  try {
+    return run(Count, Words);
+  } catch (const SettingsError &Failure) {
+    std::cerr << Failure.what() << '\n';
+  } catch (const po::error &Failure) {
+    std::cerr << "goldcrestnotchd: " << Failure.what() << '\n';
+  }
+  return ExitUsage;
+}
--- /dev/null
+++ b/scenarios/demo.lua
@@ -0,0 +1,34 @@
+-- The demonstration: 8 VMs over 3 failure domains, callers, orders, operators.
+
+local f = fleet{vms = 8, domains = 3}
+for i = 1, 4 do f:engine("engine" .. i) end
+f:service("desk1")
+f:basics(50000)
+say("8 VMs over 3 failure domains, 4 engines, 1 order desk; 50000 tokens prepaid")
+
+local calls = {}
+for i = 1, 40 do
+  calls[i] = chat_start(f.vms[i % 8 + 1], {tokens = 24, text = "price of egg timer no. " .. i})
+end
+local good = 0
+for _, handle in ipairs(calls) do
+  if whole(call_wait(handle)) then good = good + 1 end
+end
+say("chats answered whole: %d of 40", good)
+expect(good == 40, "all chats are answered")
+
+for i = 1, 5 do
+  local reply = order(f.vms[i], "crate-" .. i, "crate " .. i)
+  expect(reply.status == 200, "order %d: %s", i, reply.body)
+end
+say("orders placed: 5; run by the desk: %d", (function()
+  local n = 0
+  for _, runs in pairs(account(f.services[1]).bodies) do n = n + runs end
+  return n
+end)())
+
+process_start("ctl", "ctl", {"--server", f.vms[1].address, "--key-file",
+              write_file("operator.key", OPERATOR_KEY), "spend"})
+process_wait("ctl", 5000)
+sleep_ms(100)
+say("%s", process_output("ctl"))
--- a/src/goldcrestnotch/catalog/catalog.cpp
+++ b/src/goldcrestnotch/catalog/catalog.cpp
@@ -74,6 +74,12 @@
                        std::to_string(It->second) + ", after base " +
                        std::to_string(Stated.Base));
     }
+    if (const auto *Named = std::get_if<Workspace>(&One)) {
+      const auto *Same = findKey(Named->KeyDigest);
+      if (Same != nullptr && Same->Name != Named->Name) {
+        Result.push_back("the key of " + Subject + " is in use");
+      }
+    }
     if (const auto *Moved = std::get_if<Move>(&One)) {
       const auto Route = Routes.find(Moved->On);
       if (Route == Routes.end() || Route->second.Version != Moved->From) {
@@ -96,7 +102,9 @@
 
 void Catalog::put(LogTime When, const Change &What) {
   if (const auto *W = std::get_if<Workspace>(&What)) {
+    dropKey(W->Name);
     Workspaces[W->Name] = *W;
+    Keys[W->KeyDigest] = W->Name;
   } else if (const auto *R = std::get_if<Route>(&What)) {
     Routes[R->Name] = *R;
   } else if (const auto *T = std::get_if<Target>(&What)) {
@@ -105,6 +113,7 @@
     Moves[M->Name] = {*M, Version, When};
   } else if (const auto *Gone = std::get_if<Removal>(&What)) {
     if (Gone->What == Removal::Kind::Workspace) {
+      dropKey(WorkspaceId{Gone->Name});
       Workspaces.erase(WorkspaceId{Gone->Name});
     } else if (Gone->What == Removal::Kind::Route) {
       Routes.erase(RouteId{Gone->Name});
@@ -114,6 +123,23 @@
   }
 }
 
+void Catalog::dropKey(const WorkspaceId &Name) {
+  const auto It = Workspaces.find(Name);
+  if (It != Workspaces.end()) {
+    Keys.erase(It->second.KeyDigest);
+  }
+}
+
+const Workspace *Catalog::findKey(const std::string &Digest) const {
+  const auto It = Keys.find(Digest);
+  return It == Keys.end() ? nullptr : &Workspaces.at(It->second);
+}
+
+std::uint64_t Catalog::touched(const std::string &Subject) const {
+  const auto It = Touched.find(Subject);
+  return It == Touched.end() ? 0 : It->second;
+}
+
 void Catalog::forget(LogTime Now) {
   std::erase_if(Plans, [&](const auto &Entry) {
     return Entry.second.Since + config::PlanMemory < Now;
--- a/src/goldcrestnotch/catalog/catalog.hpp
+++ b/src/goldcrestnotch/catalog/catalog.hpp
@@ -61,6 +61,10 @@
     return Moves;
   }
   [[nodiscard]] const PlanEntry *find(const PlanId &Name) const;
+  /// @brief The workspace whose key has this digest, or nothing.
+  [[nodiscard]] const Workspace *findKey(const std::string &Digest) const;
+  /// @brief The version at which a subject last changed, or zero.
+  [[nodiscard]] std::uint64_t touched(const std::string &Subject) const;
   /// @brief Accepted plans that hold a top-up, for the ledger.
   [[nodiscard]] std::vector<const PlanEntry *> topUps() const;
   /// @brief What stands in a plan's way now; empty if nothing does.
@@ -75,11 +79,13 @@
   void take(LogTime When, const Plan &Stated);
   void take(LogTime When, const Confirmation &Word);
   void put(LogTime When, const Change &What);
+  void dropKey(const WorkspaceId &Name);
   void forget(LogTime Now);
 
   std::uint64_t Next = 0;
   std::uint64_t Version = 0;
   std::map<WorkspaceId, Workspace> Workspaces;
+  std::map<std::string, WorkspaceId> Keys; ///< By digest.
   std::map<RouteId, Route> Routes;
   std::map<TargetId, Target> Targets;
   std::map<MoveId, MoveEntry> Moves;
--- a/src/goldcrestnotch/catalog/change.cpp
+++ b/src/goldcrestnotch/catalog/change.cpp
@@ -98,9 +98,7 @@
     return Source.at(Field).get<bool>();
   }
 
-  void fault(const std::string &What) {
-    Faults.push_back(Where + ": " + What);
-  }
+  void fault(const std::string &What) { Faults.push_back(Where + ": " + What); }
 
 private:
   const json &Source;
@@ -113,7 +111,7 @@
   Workspace Result{WorkspaceId{In.name("name")}, In.text("key_digest", true)};
   const auto Key = In.text("key", true);
   if (!Key.empty()) {
-    Result.KeyDigest = digestOf(Key);
+    Result.KeyDigest = keyDigest(Key);
   }
   if (Result.KeyDigest.empty()) {
     In.fault("a workspace needs a key");
@@ -255,14 +253,10 @@
             {"version", C.Version.str()}};
   }
   json operator()(const Target &C) const {
-    return {{"kind", "target"},
-            {"name", C.Name.str()},
-            {"route", C.Serves.str()},
-            {"version", C.Version.str()},
-            {"address", C.Where.str()},
-            {"domain", C.Domain.str()},
-            {"capacity", C.Capacity},
-            {"leaving", C.Leaving},
+    return {{"kind", "target"},         {"name", C.Name.str()},
+            {"route", C.Serves.str()},  {"version", C.Version.str()},
+            {"address", C.Where.str()}, {"domain", C.Domain.str()},
+            {"capacity", C.Capacity},   {"leaving", C.Leaving},
             {"fenced", C.Fenced}};
   }
   json operator()(const Move &C) const {
@@ -313,6 +307,10 @@
 
 } // namespace internal
 
+std::string keyDigest(std::string_view Key) {
+  return macOf("goldcrestnotch workspace key", Key);
+}
+
 std::string subjectOf(const Change &What) {
   return std::visit(internal::SubjectNamer{}, What);
 }
--- a/src/goldcrestnotch/catalog/change.hpp
+++ b/src/goldcrestnotch/catalog/change.hpp
@@ -86,6 +86,9 @@
 /// @brief A record of the `config` stream.
 using ConfigRecord = std::variant<Plan, Confirmation>;
 
+/// @brief What the catalog keeps of a workspace's key.
+[[nodiscard]] std::string keyDigest(std::string_view Key);
+
 /// @brief The thing that a change is about, such as `workspace:stall-9`.
 [[nodiscard]] std::string subjectOf(const Change &What);
 
--- a/src/goldcrestnotch/config/limits.hpp
+++ b/src/goldcrestnotch/config/limits.hpp
@@ -11,9 +11,6 @@
 
 namespace goldcrestnotch::config {
 
-/// A draw gets at most this part of a pool's free tokens, unless its floor is
-/// above that: one part in `GrantShare`.
-inline constexpr std::int64_t GrantShare = 32;
 /// How long a bill's request id is remembered, in log time. Longer than an
 /// engine keeps a finished stream.
 inline constexpr Millis BillMemory = std::chrono::minutes{10};
--- a/src/goldcrestnotch/core/error.hpp
+++ b/src/goldcrestnotch/core/error.hpp
@@ -21,8 +21,8 @@
   /// @param ShortCode Code for programs, such as `budget_exhausted`.
   /// @param Message Text for people.
   Error(int HttpStatus, std::string ShortCode, const std::string &Message)
-      : std::runtime_error{Message}, Status{HttpStatus},
-        Code{std::move(ShortCode)} {}
+      : std::runtime_error{Message}, Status{HttpStatus}, Code{std::move(
+                                                             ShortCode)} {}
 
   [[nodiscard]] int status() const noexcept { return Status; }
   [[nodiscard]] const std::string &code() const noexcept { return Code; }
--- a/src/goldcrestnotch/core/hash.cpp
+++ b/src/goldcrestnotch/core/hash.cpp
@@ -41,8 +41,7 @@
 
 std::string digestOf(std::string_view Text) {
   XXH128_canonical_t Canonical;
-  XXH128_canonicalFromHash(&Canonical,
-                           XXH3_128bits(Text.data(), Text.size()));
+  XXH128_canonicalFromHash(&Canonical, XXH3_128bits(Text.data(), Text.size()));
   return internal::hex(&Canonical.digest[0], sizeof(Canonical.digest));
 }
 
--- a/src/goldcrestnotch/core/verdict.hpp
+++ b/src/goldcrestnotch/core/verdict.hpp
@@ -10,9 +10,9 @@
 
 /// @brief Whether a request may have run on a target.
 enum class Verdict : std::uint8_t {
-  NotRun,    ///< No byte of it can have reached a target.
+  NotRun,     ///< No byte of it can have reached a target.
   MayHaveRun, ///< It was sent, and its end is not known.
-  Ran,       ///< A target answered it.
+  Ran,        ///< A target answered it.
 };
 
 /// @brief The verdict as it stands in headers, records and logs.
--- a/src/goldcrestnotch/http/client.cpp
+++ b/src/goldcrestnotch/http/client.cpp
@@ -25,8 +25,7 @@
                                   const boost::system::error_code &Failure,
                                   Verdict V) {
   return Error{502, "target_unreachable",
-               std::string{What} + " " + Where.str() + ": " +
-                   Failure.message()}
+               std::string{What} + " " + Where.str() + ": " + Failure.message()}
       .withVerdict(V);
 }
 
--- a/src/goldcrestnotch/http/server.cpp
+++ b/src/goldcrestnotch/http/server.cpp
@@ -49,8 +49,8 @@
     char Byte = 0;
     boost::system::error_code Failure;
     Raw.non_blocking(true, Failure);
-    const auto Got = Raw.receive(asio::buffer(&Byte, 1),
-                                 tcp::socket::message_peek, Failure);
+    const auto Got =
+        Raw.receive(asio::buffer(&Byte, 1), tcp::socket::message_peek, Failure);
     if (Failure == asio::error::would_block) {
       return false;
     }
@@ -143,8 +143,8 @@
 public:
   State(asio::io_context &Context, const Endpoint &Where, Limits Bounds,
         Handler Handle)
-      : Context{Context}, Acceptor{Context}, Bounds{Bounds},
-        Handle{std::move(Handle)} {
+      : Context{Context}, Acceptor{Context}, Bounds{Bounds}, Handle{std::move(
+                                                                 Handle)} {
     const tcp::endpoint Local{asio::ip::make_address(Where.Address),
                               Where.Port};
     Acceptor.open(Local.protocol());
@@ -242,9 +242,8 @@
       return false;
     }
     const bool Keep = Parser.get().keep_alive() && !Draining;
-    internal::StreamExchange Talk{*Socket, Bounds,
-                                  internal::convert(Parser.release()), Keep,
-                                  Yield};
+    internal::StreamExchange Talk{
+        *Socket, Bounds, internal::convert(Parser.release()), Keep, Yield};
     Socket->expires_never();
     Handle(Talk);
     return Keep && Talk.started();
--- /dev/null
+++ b/src/goldcrestnotch/kernel/fwd.hpp
@@ -0,0 +1,12 @@
+/// @file
+/// Forward declarations of the kernel module.
+
+#pragma once
+
+namespace goldcrestnotch {
+
+class Kernel;
+class Plugin;
+class PluginRegistry;
+
+} // namespace goldcrestnotch
--- a/src/goldcrestnotch/ledger/book.cpp
+++ b/src/goldcrestnotch/ledger/book.cpp
@@ -40,8 +40,7 @@
   if (Free < Floor || Free <= Tokens{0}) {
     return Tokens{};
   }
-  const Tokens Share = std::max(Floor, Free / config::GrantShare);
-  return std::min({std::max(Want, Floor), Share, Free});
+  return std::min(std::max(Want, Floor), Free);
 }
 
 } // namespace internal
@@ -107,6 +106,16 @@
   serve(Target);
 }
 
+void Book::take(const Batch &, const Capacity &What) {
+  auto &Target = Pools[What.Pool];
+  if (What.Version <= Target.Version) {
+    return;
+  }
+  Target.Version = What.Version;
+  Target.Total = What.Amount;
+  serve(Target);
+}
+
 void Book::take(const Batch &Record, const Draw &What) {
   auto It = Pools.find(What.Pool);
   if (It == Pools.end()) {
@@ -114,9 +123,8 @@
     return;
   }
   auto &From = It->second;
-  std::erase_if(From.Short, [&](const Shortage &S) {
-    return S.Holder == Record.Holder;
-  });
+  std::erase_if(From.Short,
+                [&](const Shortage &S) { return S.Holder == Record.Holder; });
   From.Short.push_back({Record.Holder, What.Want, What.Floor});
   serve(From);
 }
@@ -159,8 +167,7 @@
 
 void Book::take(const Batch &Record, const Return &What) {
   const auto It = Pools.find(What.Pool);
-  if (It == Pools.end() ||
-      It->second.granted(Record.Holder) < What.Amount) {
+  if (It == Pools.end() || It->second.granted(Record.Holder) < What.Amount) {
     ++Counters.Refused;
     return;
   }
--- a/src/goldcrestnotch/ledger/book.hpp
+++ b/src/goldcrestnotch/ledger/book.hpp
@@ -29,9 +29,11 @@
 /// @brief One divisible right.
 ///
 /// Invariant: `Billed + WrittenOff` and all of `Granted` and `Doubt` together
-/// never exceed `Total`.
+/// never exceed `Total`, but where a `Capacity` record has lowered `Total` and
+/// holders have yet to give back.
 struct Pool {
   Tokens Total;
+  std::uint64_t Version = 0; ///< Of the last `Capacity` record.
   Tokens Billed;
   Tokens WrittenOff;
   std::map<HolderId, Tokens> Granted; ///< Each above zero.
@@ -54,10 +56,10 @@
 
 /// @brief Counts of records that changed nothing, by cause.
 struct BookCounters {
-  std::uint64_t Repeated = 0;     ///< Batches already applied.
-  std::uint64_t Retired = 0;      ///< Batches of dead holders.
+  std::uint64_t Repeated = 0;      ///< Batches already applied.
+  std::uint64_t Retired = 0;       ///< Batches of dead holders.
   std::uint64_t RepeatedBills = 0; ///< Requests billed before.
-  std::uint64_t Refused = 0;      ///< Items that would break an invariant.
+  std::uint64_t Refused = 0;       ///< Items that would break an invariant.
 };
 
 /// @brief The state of one ledger stream after a prefix of its records.
@@ -113,6 +115,7 @@
 
   void take(const Batch &Record, const Join &What);
   void take(const Batch &Record, const TopUp &What);
+  void take(const Batch &Record, const Capacity &What);
   void take(const Batch &Record, const Draw &What);
   void take(const Batch &Record, const Bill &What);
   void take(const Batch &Record, const Return &What);
--- a/src/goldcrestnotch/ledger/book_codec.cpp
+++ b/src/goldcrestnotch/ledger/book_codec.cpp
@@ -42,14 +42,19 @@
   for (const auto &S : Source.Short) {
     Short.push_back({S.Holder.str(), S.Want.count(), S.Floor.count()});
   }
-  return {{"t", Source.Total.count()},      {"b", Source.Billed.count()},
-          {"w", Source.WrittenOff.count()}, {"g", save(Source.Granted)},
-          {"d", save(Source.Doubt)},        {"s", Short}};
+  return {{"t", Source.Total.count()},
+          {"v", Source.Version},
+          {"b", Source.Billed.count()},
+          {"w", Source.WrittenOff.count()},
+          {"g", save(Source.Granted)},
+          {"d", save(Source.Doubt)},
+          {"s", Short}};
 }
 
 [[nodiscard]] static Pool loadPool(const json &Source) {
   Pool Result;
   Result.Total = Tokens{Source.at("t").get<std::int64_t>()};
+  Result.Version = Source.at("v").get<std::uint64_t>();
   Result.Billed = Tokens{Source.at("b").get<std::int64_t>()};
   Result.WrittenOff = Tokens{Source.at("w").get<std::int64_t>()};
   Result.Granted = loadParts(Source.at("g"));
@@ -79,10 +84,10 @@
                     {}};
   if (Source.contains("e")) {
     const auto &End = Source.at("e");
-    Result.End = Outcome{RequestId{Source.at("k").get<std::string>()},
-                         verdictOf(End.at(0).get<std::string>()),
-                         End.at(1).get<int>(), End.at(2).get<std::string>(),
-                         End.at(3).get<std::string>()};
+    Result.End =
+        Outcome{RequestId{Source.at("k").get<std::string>()},
+                verdictOf(End.at(0).get<std::string>()), End.at(1).get<int>(),
+                End.at(2).get<std::string>(), End.at(3).get<std::string>()};
   }
   return Result;
 }
@@ -143,7 +148,8 @@
     const auto Object = [&](const char *Name) {
       return Source.value(Name, json::object());
     };
-    for (const auto &[Name, Target] : Object("pools").items()) {
+    const json Pools = Object("pools");
+    for (const auto &[Name, Target] : Pools.items()) {
       Result.Pools.emplace(PoolId{Name}, internal::loadPool(Target));
     }
     for (const auto &One : Source.value("claims", json::array())) {
@@ -152,10 +158,12 @@
       Result.ClaimAges.emplace_back(State.Since, Key);
       Result.Claims.emplace(Key, State);
     }
-    for (const auto &[Vm, Incarnation] : Object("incarnations").items()) {
+    const json Incarnations = Object("incarnations");
+    for (const auto &[Vm, Incarnation] : Incarnations.items()) {
       Result.Incarnations.emplace(VmId{Vm}, Incarnation.get<std::uint64_t>());
     }
-    for (const auto &[Name, Sequence] : Object("sequences").items()) {
+    const json Sequences = Object("sequences");
+    for (const auto &[Name, Sequence] : Sequences.items()) {
       Result.Sequences.emplace(HolderId::parse(Name),
                                Sequence.get<std::uint64_t>());
     }
--- /dev/null
+++ b/src/goldcrestnotch/ledger/claim_keeper.cpp
@@ -0,0 +1,76 @@
+/// @file
+/// Decisions on claims.
+
+#include "goldcrestnotch/ledger/claim_keeper.hpp"
+
+#include <utility>
+
+namespace goldcrestnotch {
+
+std::vector<ClaimDecision> ClaimKeeper::request(Instant Now, const Book &Source,
+                                                std::uint64_t Ticket,
+                                                const RequestId &Key) {
+  Waiters.emplace(Ticket, Waiter{Key, Now + Wait, 0});
+  return poll(Now, Source);
+}
+
+std::vector<ClaimDecision> ClaimKeeper::poll(Instant Now, const Book &Source) {
+  std::vector<ClaimDecision> Result;
+  for (auto It = Waiters.begin(); It != Waiters.end();) {
+    const bool Done = decide(Now, Source, It->first, It->second, Result);
+    It = Done ? Waiters.erase(It) : std::next(It);
+  }
+  return Result;
+}
+
+bool ClaimKeeper::decide(Instant Now, const Book &Source, std::uint64_t Ticket,
+                         Waiter &One, std::vector<ClaimDecision> &Result) {
+  const auto *Found = Source.claim(One.Key);
+  if (Found != nullptr && Found->End) {
+    Result.emplace_back(ClaimEnded{Ticket, *Found->End});
+    return true;
+  }
+  const bool Owner = Owners.contains(One.Key) && Owners[One.Key] == Ticket;
+  const bool Settled = One.Sequence <= Source.sequence(Out.self());
+  const bool Ours = Found != nullptr && Found->Holder == Out.self();
+  if (Owner && Settled && Ours) {
+    Result.emplace_back(ClaimHeld{Ticket});
+    return true;
+  }
+  if (Owner && Settled && Found != nullptr) {
+    Owners.erase(One.Key); // Another VM's claim came first.
+  }
+  if (Found == nullptr && Settled && (Owner || !Owners.contains(One.Key))) {
+    Owners[One.Key] = Ticket;
+    One.Sequence = Out.emplace(Claim{One.Key});
+  }
+  if (Now < One.Deadline) {
+    return false;
+  }
+  return giveUp(Ticket, One, Result);
+}
+
+bool ClaimKeeper::giveUp(std::uint64_t Ticket, const Waiter &One,
+                         std::vector<ClaimDecision> &Result) {
+  const auto It = Owners.find(One.Key);
+  if (It != Owners.end() && It->second == Ticket) {
+    Owners.erase(It);
+    Out.emplace(Release{One.Key});
+    Result.emplace_back(ClaimMissed{Ticket});
+  } else {
+    Result.emplace_back(ClaimInDoubt{Ticket});
+  }
+  return true;
+}
+
+void ClaimKeeper::end(Outcome What) {
+  Owners.erase(What.Key);
+  Out.emplace(std::move(What));
+}
+
+void ClaimKeeper::release(const RequestId &Key) {
+  Owners.erase(Key);
+  Out.emplace(Release{Key});
+}
+
+} // namespace goldcrestnotch
--- /dev/null
+++ b/src/goldcrestnotch/ledger/claim_keeper.hpp
@@ -0,0 +1,84 @@
+/// @file
+/// A VM's side of claims: a call that may not be repeated runs only where its
+/// claim was the first in the log.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "goldcrestnotch/core/instant.hpp"
+#include "goldcrestnotch/ledger/book.hpp"
+#include "goldcrestnotch/ledger/journal.hpp"
+
+namespace goldcrestnotch {
+
+/// @brief The claim is durable; the call may be sent, once.
+struct ClaimHeld {
+  std::uint64_t Ticket = 0;
+};
+
+/// @brief The call has ended before; this was its outcome.
+struct ClaimEnded {
+  std::uint64_t Ticket = 0;
+  Outcome End;
+};
+
+/// @brief The call was claimed before, and its end is not known.
+struct ClaimInDoubt {
+  std::uint64_t Ticket = 0;
+};
+
+/// @brief No claim could be made in time; the call did not run here.
+struct ClaimMissed {
+  std::uint64_t Ticket = 0;
+};
+
+using ClaimDecision =
+    std::variant<ClaimHeld, ClaimEnded, ClaimInDoubt, ClaimMissed>;
+
+/// @brief Decides on calls by the order of the log.
+class ClaimKeeper {
+public:
+  ClaimKeeper(Journal &Out, Millis Wait) : Out{Out}, Wait{Wait} {}
+
+  [[nodiscard]] std::size_t waiting() const noexcept { return Waiters.size(); }
+
+  /// @brief Asks for the right to run a call.
+  [[nodiscard]] std::vector<ClaimDecision> request(Instant Now,
+                                                   const Book &Source,
+                                                   std::uint64_t Ticket,
+                                                   const RequestId &Key);
+  /// @brief Takes a book's news in.
+  [[nodiscard]] std::vector<ClaimDecision> poll(Instant Now,
+                                                const Book &Source);
+
+  /// @brief Records how a held call ended.
+  void end(Outcome What);
+  /// @brief Gives a held claim up; no byte has reached a target.
+  void release(const RequestId &Key);
+
+private:
+  struct Waiter {
+    RequestId Key;
+    Instant Deadline;
+    std::uint64_t Sequence = 0; ///< Of its claim's batch; 0 if none was made.
+  };
+
+  /// @return True with a decision added if the waiter is done.
+  [[nodiscard]] bool decide(Instant Now, const Book &Source,
+                            std::uint64_t Ticket, Waiter &One,
+                            std::vector<ClaimDecision> &Result);
+  [[nodiscard]] bool giveUp(std::uint64_t Ticket, const Waiter &One,
+                            std::vector<ClaimDecision> &Result);
+
+  Journal &Out;
+  Millis Wait;
+  std::map<std::uint64_t, Waiter> Waiters;   ///< By ticket.
+  std::map<RequestId, std::uint64_t> Owners; ///< Tickets that claim or run.
+};
+
+} // namespace goldcrestnotch
--- a/src/goldcrestnotch/ledger/holder.hpp
+++ b/src/goldcrestnotch/ledger/holder.hpp
@@ -57,8 +57,7 @@
       : Out{Out}, Times{Times}, Size{Size} {}
 
   /// @brief Tokens that a new request could reserve at once.
-  [[nodiscard]] Tokens available(const Book &Source,
-                                 const PoolId &Name) const {
+  [[nodiscard]] Tokens available(const Book &Source, const PoolId &Name) const {
     const auto It = Desks.find(Name);
     return It == Desks.end() ? Tokens{} : available(Source, Name, It->second);
   }
@@ -117,6 +116,9 @@
     return Result;
   }
 
+  /// @brief Draws on a pool ahead of the first request.
+  void open(const PoolId &Name) { Desks.try_emplace(Name); }
+
   /// @brief Gives back all that is not reserved, before a shutdown.
   void surrender(const Book &Source) {
     for (auto &[Name, Desk] : Desks) {
@@ -136,8 +138,8 @@
     Tokens Reserved;          ///< Bounds of requests in progress.
     std::deque<Waiter> Queue; ///< Requests without a grant, oldest first.
     std::vector<std::pair<std::uint64_t, Tokens>> Unreported; ///< By sequence.
-    std::uint64_t DrawSequence = 0; ///< Of the last draw.
-    Tokens DrawFloor;               ///< Of the last draw.
+    std::uint64_t DrawSequence = 0;        ///< Of the last draw.
+    Tokens DrawFloor;                      ///< Of the last draw.
     Instant IdleDeadline = Instant::max(); ///< When a surplus goes back.
     double Rate = 0;                       ///< Tokens a second.
     Instant RateTime{};
@@ -178,9 +180,10 @@
     return Result;
   }
 
-  [[nodiscard]] std::optional<RefusalCause>
-  refusal(Instant Now, const Book &Source, const PoolId &Name,
-          const Waiter &One) const {
+  [[nodiscard]] std::optional<RefusalCause> refusal(Instant Now,
+                                                    const Book &Source,
+                                                    const PoolId &Name,
+                                                    const Waiter &One) const {
     const auto *Found = Source.find(Name);
     if (Found == nullptr) {
       return RefusalCause::Unknown;
@@ -200,8 +203,8 @@
     }
     const Tokens Need = needed(At);
     const Tokens Floor = std::max(Need - Free, Tokens{0});
-    const Tokens Target = Size.target({*Found, rate(At, Now),
-                                       Source.holders().size(), At.Reserved});
+    const Tokens Target = Size.target(
+        {*Found, rate(At, Now), Source.holders().size(), At.Reserved});
     const bool Low = Free + At.Reserved < Target / 2;
     const bool Waits = shortage(*Found) != nullptr;
     const bool Changed = !Waits || shortage(*Found)->Floor != Floor;
@@ -243,7 +246,7 @@
     if (Found == nullptr) {
       return;
     }
-    Tokens Short;
+    Tokens Short = std::max(Tokens{} - Found->free(), Tokens{});
     for (const auto &One : Found->Short) {
       if (One.Holder == Out.self()) {
         break;
@@ -260,8 +263,8 @@
 
   void dropIdle(Instant Now, const Pool &Found, const Book &Source,
                 const PoolId &Name, Desk &At, Tokens Free) {
-    const Tokens Target = Size.target({Found, rate(At, Now),
-                                       Source.holders().size(), At.Reserved});
+    const Tokens Target = Size.target(
+        {Found, rate(At, Now), Source.holders().size(), At.Reserved});
     const Tokens Surplus = Free + At.Reserved - Target * 2;
     if (Surplus <= Tokens{0} || !At.Queue.empty()) {
       At.IdleDeadline = Instant::max();
--- a/src/goldcrestnotch/ledger/record.cpp
+++ b/src/goldcrestnotch/ledger/record.cpp
@@ -39,16 +39,17 @@
 struct ItemWriter {
   json operator()(const Join &) const { return json::array({"join"}); }
   json operator()(const TopUp &I) const {
-    return json::array(
-        {"topup", I.Pool.str(), I.Plan.str(), I.Amount.count()});
+    return json::array({"topup", I.Pool.str(), I.Plan.str(), I.Amount.count()});
+  }
+  json operator()(const Capacity &I) const {
+    return json::array({"capacity", I.Pool.str(), I.Version, I.Amount.count()});
   }
   json operator()(const Draw &I) const {
-    return json::array(
-        {"draw", I.Pool.str(), I.Want.count(), I.Floor.count()});
+    return json::array({"draw", I.Pool.str(), I.Want.count(), I.Floor.count()});
   }
   json operator()(const Bill &I) const {
-    return json::array({"bill", I.Pool.str(), I.Request.str(),
-                        I.Amount.count(), I.Keyed ? 1 : 0,
+    return json::array({"bill", I.Pool.str(), I.Request.str(), I.Amount.count(),
+                        I.Keyed ? 1 : 0,
                         I.Payer.Vm.empty() ? "" : I.Payer.str()});
   }
   json operator()(const Return &I) const {
@@ -97,6 +98,11 @@
        [](const json &R) -> Item {
          return TopUp{PoolId{text(R, 1)}, PlanId{text(R, 2)}, amount(R, 3)};
        }},
+      {"capacity",
+       [](const json &R) -> Item {
+         return Capacity{PoolId{text(R, 1)}, R.at(2).get<std::uint64_t>(),
+                         natural(R, 3)};
+       }},
       {"draw",
        [](const json &R) -> Item {
          return Draw{PoolId{text(R, 1)}, natural(R, 2), natural(R, 3)};
--- a/src/goldcrestnotch/ledger/record.hpp
+++ b/src/goldcrestnotch/ledger/record.hpp
@@ -27,6 +27,13 @@
   Tokens Amount;
 };
 
+/// @brief Sets a pool's total, such as a target's slots; the newest plan wins.
+struct Capacity {
+  PoolId Pool;
+  std::uint64_t Version = 0; ///< Of the catalog.
+  Tokens Amount;
+};
+
 /// @brief The holder asks for a grant.
 struct Draw {
   PoolId Pool;
@@ -76,11 +83,12 @@
 /// @brief The engines have been asked for a dead holder's streams.
 struct Settle {
   HolderId Dead;
-  bool WriteOff = false; ///< Not all answered: what is in doubt counts as spent.
+  bool WriteOff =
+      false; ///< Not all answered: what is in doubt counts as spent.
 };
 
-using Item = std::variant<Join, TopUp, Draw, Bill, Return, Claim, Outcome,
-                          Release, Retire, Settle>;
+using Item = std::variant<Join, TopUp, Capacity, Draw, Bill, Return, Claim,
+                          Outcome, Release, Retire, Settle>;
 
 /// @brief One append.
 struct Batch {
--- /dev/null
+++ b/src/goldcrestnotch/ledger/service.hpp
@@ -0,0 +1,123 @@
+/// @file
+/// Runs the ledger's decision objects on the control thread: one shard a
+/// stream, each with its fold, journal, holders and claims.
+
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "goldcrestnotch/kernel/kernel.hpp"
+#include "goldcrestnotch/ledger/book.hpp"
+#include "goldcrestnotch/ledger/claim_keeper.hpp"
+#include "goldcrestnotch/ledger/holder.hpp"
+#include "goldcrestnotch/ledger/journal.hpp"
+#include "goldcrestnotch/platform/follower.hpp"
+
+namespace goldcrestnotch {
+
+/// @brief The pool of a workspace's budget.
+[[nodiscard]] PoolId budgetPool(const WorkspaceId &Name);
+/// @brief The pool of a target's slots.
+[[nodiscard]] PoolId slotPool(const TargetId &Name);
+/// @brief The workspace of a budget's pool, or an empty one.
+[[nodiscard]] WorkspaceId workspaceOf(const PoolId &Name);
+/// @brief The ledger shard that a pool, or a claim of its workspace, is in.
+[[nodiscard]] std::uint32_t shardOf(const PoolId &Name);
+
+/// @brief One ledger stream on this VM.
+class LedgerShard {
+public:
+  using Decided = std::function<void(Decision)>;
+  using Claimed = std::function<void(ClaimDecision)>;
+
+  LedgerShard(Kernel &Host, std::uint32_t Index);
+
+  [[nodiscard]] const Book &book() const noexcept { return Source.fold(); }
+  [[nodiscard]] bool ready() const noexcept { return Source.ready(); }
+  [[nodiscard]] bool connected() const noexcept { return Source.connected(); }
+  [[nodiscard]] bool flushed() const noexcept { return Out.size() == 0; }
+  /// @brief Slots of a target that this VM could use at once.
+  [[nodiscard]] Tokens slots(const PoolId &Name) const;
+  [[nodiscard]] Tokens slotsUsed(const PoolId &Name) const;
+
+  void start();
+  void admit(const PoolId &Name, Tokens Bound, Decided Done);
+  void settle(const PoolId &Name, Tokens Bound, Tokens Spent,
+              const RequestId &Request, bool Keyed);
+  /// @brief Draws slots of a target ahead of need.
+  void open(const PoolId &Slots);
+  void takeSlot(const PoolId &Slots, Decided Done);
+  void freeSlot(const PoolId &Slots);
+  void claim(const RequestId &Key, Claimed Done);
+  void endClaim(Outcome What);
+  void releaseClaim(const RequestId &Key);
+  /// @brief Appends an item for the fleet rather than for a request.
+  void emplace(Item What);
+  /// @brief Gives back unused grants, before a shutdown.
+  void surrender();
+  void snapshot(boost::asio::yield_context Yield);
+  /// @brief Called after every change of the fold.
+  void onChange(std::function<void()> Hook) {
+    Hooks.push_back(std::move(Hook));
+  }
+
+private:
+  void append(boost::asio::yield_context Yield);
+  void sendBatch(boost::asio::yield_context Yield, const Batch &Next);
+  void tick(boost::asio::yield_context Yield);
+  void poll();
+  void tell(const std::vector<Decision> &Some);
+  void tell(const std::vector<ClaimDecision> &Some);
+  void kick();
+
+  Kernel &Host;
+  LogClient Log;
+  Journal Out;
+  Holder<DemandSizing> Budgets;
+  Holder<EqualSizing> Slots;
+  ClaimKeeper Claims;
+  Follower<Book> Source;
+  boost::asio::steady_timer Wake;
+  std::map<std::uint64_t, Decided> Waiting;       ///< By ticket.
+  std::map<std::uint64_t, Claimed> ClaimsWaiting; ///< By ticket.
+  std::vector<std::function<void()>> Hooks;
+  std::uint64_t LastTicket = 0;
+  std::uint32_t Failures = 0; ///< Appends in a row without an answer.
+  bool Superseded = false;
+};
+
+/// @brief The plug-in that owns the shards.
+///
+/// All members but `post` are for the control thread.
+class LedgerService final : public Plugin {
+public:
+  explicit LedgerService(Kernel &Host);
+
+  [[nodiscard]] LedgerShard &shard(const PoolId &Name);
+  [[nodiscard]] std::vector<std::unique_ptr<LedgerShard>> &shards() noexcept {
+    return Shards;
+  }
+  [[nodiscard]] bool ready() const;
+  [[nodiscard]] bool connected() const;
+
+  void start() override;
+  void drain() override;
+  [[nodiscard]] bool drained() override;
+
+private:
+  void keepSnapshots(boost::asio::yield_context Yield);
+
+  Kernel &Host;
+  std::vector<std::unique_ptr<LedgerShard>> Shards;
+  bool Surrendered = false;
+};
+
+} // namespace goldcrestnotch
--- a/src/goldcrestnotch/ledger/sizing.hpp
+++ b/src/goldcrestnotch/ledger/sizing.hpp
@@ -14,9 +14,9 @@
 /// @brief What a policy may look at.
 struct SizingInput {
   const Pool &Source;
-  double Rate = 0;          ///< Tokens a second, averaged.
-  std::size_t Holders = 1;  ///< Live holders of the stream.
-  Tokens Outstanding;       ///< Reserved by requests in progress.
+  double Rate = 0;         ///< Tokens a second, averaged.
+  std::size_t Holders = 1; ///< Live holders of the stream.
+  Tokens Outstanding;      ///< Reserved by requests in progress.
 };
 
 /// @brief Enough for the holder's own demand over an outage, less as the pool
@@ -28,8 +28,7 @@
   std::int64_t Share = 32;
 
   [[nodiscard]] Tokens target(const SizingInput &In) const noexcept {
-    const auto Seconds =
-        std::chrono::duration<double>{Horizon}.count();
+    const auto Seconds = std::chrono::duration<double>{Horizon}.count();
     const Tokens Demand{static_cast<std::int64_t>(In.Rate * Seconds)};
     return std::min(Demand + In.Outstanding,
                     In.Outstanding + In.Source.free() / Share);
--- /dev/null
+++ b/src/goldcrestnotch/membership/view.cpp
@@ -0,0 +1,81 @@
+/// @file
+/// Rendezvous hashing over the live list.
+
+#include "goldcrestnotch/membership/view.hpp"
+
+#include <algorithm>
+#include <stdexcept>
+
+#include <nlohmann/json.hpp>
+
+#include "goldcrestnotch/core/hash.hpp"
+
+namespace goldcrestnotch {
+
+std::vector<VmEntry> decodeLiveList(std::string_view Text) {
+  try {
+    std::vector<VmEntry> Result;
+    const auto Source = nlohmann::json::parse(Text);
+    for (const auto &One : Source.at("vms")) {
+      Result.push_back(
+          {VmId{One.at("vm").get<std::string>()},
+           DomainId{One.at("domain").get<std::string>()},
+           http::Endpoint::parse(One.at("entry").get<std::string>()),
+           http::Endpoint::parse(One.at("peer").get<std::string>()),
+           One.at("state").get<std::string>() == "leaving"});
+    }
+    return Result;
+  } catch (const nlohmann::json::exception &Failure) {
+    throw std::invalid_argument{Failure.what()};
+  }
+}
+
+std::vector<VmEntry> View::ranked(std::string_view Key) const {
+  std::vector<VmEntry> Result;
+  for (const auto &[Name, Entry] : Vms) {
+    if (!Entry.Leaving) {
+      Result.push_back(Entry);
+    }
+  }
+  std::sort(
+      Result.begin(), Result.end(), [&](const VmEntry &A, const VmEntry &B) {
+        return rendezvous(Key, A.Name.str()) > rendezvous(Key, B.Name.str());
+      });
+  return Result;
+}
+
+VmId View::home(std::string_view Key) const {
+  VmId Best;
+  std::uint64_t BestScore = 0;
+  for (const auto &[Name, Entry] : Vms) {
+    const auto Score = rendezvous(Key, Name.str());
+    if (!Entry.Leaving && (Best.empty() || Score > BestScore)) {
+      Best = Name;
+      BestScore = Score;
+    }
+  }
+  return Best;
+}
+
+Millis View::missing(const VmId &Name) const {
+  const auto It = Missing.find(Name);
+  return It == Missing.end() ? Millis{0} : It->second;
+}
+
+void View::update(Instant Now, const std::vector<VmEntry> &List) {
+  const auto Since = LastRead ? Now - *LastRead : Millis{0};
+  LastRead = Now;
+  Ready = true;
+  for (const auto &[Name, Entry] : Vms) {
+    Missing.try_emplace(Name, Millis{0});
+  }
+  Vms.clear();
+  for (const auto &Entry : List) {
+    Vms[Entry.Name] = Entry;
+  }
+  for (auto &[Name, Span] : Missing) {
+    Span = Vms.contains(Name) ? Millis{0} : Span + Since;
+  }
+}
+
+} // namespace goldcrestnotch
--- /dev/null
+++ b/src/goldcrestnotch/placement/fwd.hpp
@@ -0,0 +1,13 @@
+/// @file
+/// Forward declarations of the placement module.
+
+#pragma once
+
+namespace goldcrestnotch {
+
+struct Wish;
+struct Backoff;
+template <typename HealthPolicy = Backoff> class Placer;
+class PlacementService;
+
+} // namespace goldcrestnotch
--- /dev/null
+++ b/src/goldcrestnotch/rollout/fwd.hpp
@@ -0,0 +1,11 @@
+/// @file
+/// Forward declarations of the rollout module.
+
+#pragma once
+
+namespace goldcrestnotch {
+
+struct Observation;
+class RolloutService;
+
+} // namespace goldcrestnotch
