--- a/scenarios/prelude.lua
+++ b/scenarios/prelude.lua
@@ -131,9 +131,9 @@
     return process_output(vm.name):match('"entry":"([%d.:]+)"')
   end)
   vm.address = entry
-  vm.peer = process_output(vm.name):match('"peer":"([%d.:]+)"') or entry
+  vm.peer = process_output(vm.name):match('"peer":"([%d.:]+)"')
   relay_set(vm.entry_relay, "aim", vm.address)
-  relay_set(vm.peer_relay, "aim", vm.peer)
+  if vm.peer then relay_set(vm.peer_relay, "aim", vm.peer) end
 end
 
 -- Publishes the platform's live list.
--- a/scenarios/runner/process.cpp
+++ b/scenarios/runner/process.cpp
@@ -38,6 +38,7 @@
   std::vector<std::string> Copy{Program};
   Copy.insert(Copy.end(), Words.begin(), Words.end());
   std::vector<char *> Pointers;
+  Pointers.reserve(Copy.size() + 1);
   for (auto &Word : Copy) {
     Pointers.push_back(Word.data());
   }
--- a/scenarios/runner/relay.cpp
+++ b/scenarios/runner/relay.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-constexpr std::size_t PumpBytes = 16 * 1024;
+constexpr std::size_t PumpBytes = 16'384;
 constexpr std::chrono::milliseconds ModePoll{5};
 
 tcp::endpoint endpointOf(const std::string &Address) {
--- a/src/goldcrestnotch/catalog/change.cpp
+++ b/src/goldcrestnotch/catalog/change.cpp
@@ -42,7 +42,7 @@
   }
 
   [[nodiscard]] std::string name(const char *Field, bool Optional = false) {
-    const auto Text = text(Field, Optional);
+    auto Text = text(Field, Optional);
     const bool Bad =
         Text.size() > NameBytes ||
         Text.find_first_not_of("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTU"
--- a/src/goldcrestnotch/entry/context.cpp
+++ b/src/goldcrestnotch/entry/context.cpp
@@ -68,7 +68,7 @@
 }
 
 std::string EntryContext::idempotencyKey(const http::Request &Asked) {
-  const std::string Key{Asked.field("Idempotency-Key")};
+  std::string Key{Asked.field("Idempotency-Key")};
   if (Key.size() > internal::KeyBytes) {
     throw Error{400, "invalid_key", "an Idempotency-Key has at most 255 bytes"};
   }
--- a/src/goldcrestnotch/http/client.cpp
+++ b/src/goldcrestnotch/http/client.cpp
@@ -18,7 +18,7 @@
 
 namespace internal {
 
-static constexpr std::size_t ReadBytes = 16 * 1024;
+static constexpr std::size_t ReadBytes = 16'384;
 static constexpr std::uint64_t BodyBytes = 64ULL * 1024 * 1024;
 
 [[nodiscard]] static Error failed(std::string_view What, const Endpoint &Where,
--- a/src/goldcrestnotch/http/server.hpp
+++ b/src/goldcrestnotch/http/server.hpp
@@ -19,8 +19,8 @@
 
 /// @brief What a server accepts from a caller.
 struct Limits {
-  std::uint32_t HeadBytes = 16 * 1024;
-  std::uint64_t BodyBytes = 1024 * 1024;
+  std::uint32_t HeadBytes = 16'384;
+  std::uint64_t BodyBytes = 1'048'576;
   Millis HeadWait{10'000};  ///< From the first byte awaited to the whole head.
   Millis BodyWait{30'000};  ///< To the whole body.
   Millis WriteWait{30'000}; ///< For one write to be taken by the caller.
--- a/src/goldcrestnotch/ledger/holder.hpp
+++ b/src/goldcrestnotch/ledger/holder.hpp
@@ -53,7 +53,7 @@
 /// @tparam Sizing How much to hold.
 template <typename Sizing> class Holder {
 public:
-  Holder(Journal &Out, HolderTimes Times = {}, Sizing Size = {})
+  explicit Holder(Journal &Out, HolderTimes Times = {}, Sizing Size = {})
       : Out{Out}, Times{Times}, Size{Size} {}
 
   /// @brief Tokens that a new request could reserve at once.
--- a/src/goldcrestnotch/platform/log_client.cpp
+++ b/src/goldcrestnotch/platform/log_client.cpp
@@ -19,7 +19,7 @@
 static constexpr int StatusOk = 200;
 
 [[nodiscard]] static json parse(const http::Response &Answer) {
-  const auto Parsed = json::parse(Answer.Body, nullptr, false);
+  auto Parsed = json::parse(Answer.Body, nullptr, false);
   if (Answer.Status == StatusGone && Parsed.is_object()) {
     throw Trimmed{Parsed.value("first", std::uint64_t{0})};
   }
--- a/src/goldcrestnotch/settings/settings.cpp
+++ b/src/goldcrestnotch/settings/settings.cpp
@@ -22,7 +22,8 @@
 [[nodiscard]] static std::string join(const std::vector<std::string> &Lines) {
   std::string Text;
   for (const auto &Line : Lines) {
-    Text += (Text.empty() ? "" : "\n") + Line;
+    Text += Text.empty() ? "" : "\n";
+    Text += Line;
   }
   return Text;
 }
--- a/src/goldcrestnotch/settings/settings.hpp
+++ b/src/goldcrestnotch/settings/settings.hpp
@@ -40,8 +40,8 @@
   Millis SlotWait{500};         ///< Longest that a request waits for a slot.
   Millis CallerWait{30'000};    ///< For a caller to take what was written.
   std::uint32_t MaxStreams = 2'000;
-  std::uint32_t HeadBytes = 16 * 1024;
-  std::uint64_t BodyBytes = 1024 * 1024;
+  std::uint32_t HeadBytes = 16'384;
+  std::uint64_t BodyBytes = 1'048'576;
   std::int64_t DefaultMaxTokens = 256;
   std::int64_t MostMaxTokens = 32'768;
 
--- a/src/goldcrestnotch/stream/relay.cpp
+++ b/src/goldcrestnotch/stream/relay.cpp
@@ -13,7 +13,7 @@
 
 namespace internal {
 
-static constexpr std::size_t EventBytes = 64 * 1024;
+static constexpr std::size_t EventBytes = 65'536;
 static constexpr std::string_view EndMark = "[DONE]";
 
 } // namespace internal
--- a/standin/engine.cpp
+++ b/standin/engine.cpp
@@ -80,7 +80,7 @@
     }
   }
 
-  Response account() const {
+  [[nodiscard]] Response account() const {
     json Rows = json::object();
     for (const auto &[Name, One] : Generations) {
       Rows[Name] = {{"tag", One.Tag},
