--- a/src/goldcrestnotch/ledger/book.hpp
+++ b/src/goldcrestnotch/ledger/book.hpp
@@ -92,6 +92,8 @@
   [[nodiscard]] bool billed(const RequestId &Request) const;
   /// @brief Dead holders with grants that are not settled.
   [[nodiscard]] std::set<HolderId> unsettled() const;
+  /// @brief Count of holders that are not retired.
+  [[nodiscard]] std::size_t size() const noexcept { return Sequences.size(); }
   /// @brief Holders that are not retired.
   [[nodiscard]] std::vector<HolderId> holders() const;
   [[nodiscard]] const BookCounters &counters() const noexcept {
--- a/src/goldcrestnotch/ledger/holder.hpp
+++ b/src/goldcrestnotch/ledger/holder.hpp
@@ -203,8 +203,8 @@
     }
     const Tokens Need = needed(At);
     const Tokens Floor = std::max(Need - Free, Tokens{0});
-    const Tokens Target = Size.target(
-        {*Found, rate(At, Now), Source.holders().size(), At.Reserved});
+    const Tokens Target =
+        Size.target({*Found, rate(At, Now), Source.size(), At.Reserved});
     const bool Low = Free + At.Reserved < Target / 2;
     const bool Waits = shortage(*Found) != nullptr;
     const bool Changed = !Waits || shortage(*Found)->Floor != Floor;
@@ -263,8 +263,8 @@
 
   void dropIdle(Instant Now, const Pool &Found, const Book &Source,
                 const PoolId &Name, Desk &At, Tokens Free) {
-    const Tokens Target = Size.target(
-        {Found, rate(At, Now), Source.holders().size(), At.Reserved});
+    const Tokens Target =
+        Size.target({Found, rate(At, Now), Source.size(), At.Reserved});
     const Tokens Surplus = Free + At.Reserved - Target * 2;
     if (Surplus <= Tokens{0} || !At.Queue.empty()) {
       At.IdleDeadline = Instant::max();
