--- a/src/goldcrestnotch/entry/context.cpp
+++ b/src/goldcrestnotch/entry/context.cpp
@@ -41,6 +41,17 @@
     throw Error{503, "vm_starting", "this VM has no configuration yet"}
         .withRetryAfter(internal::ComeBackSoon);
   }
+  requireStanding();
+}
+
+void EntryContext::requireStanding() const {
+  if (!Members.mayServe(DecisionClock::now())) {
+    Host.metrics().count("refusals_total{cause=\"cut_off\"}");
+    throw Error{503, "vm_cut_off",
+                "this VM has been cut off from the platform for too long; ask "
+                "another"}
+        .withRetryAfter(Millis{0});
+  }
 }
 
 std::unique_ptr<SlotLease> EntryContext::place(boost::asio::yield_context Yield,
@@ -50,7 +61,9 @@
                       [this, Wanted, Done] { Places.acquire(Wanted, Done); });
   });
   if (Found.On) {
-    return std::make_unique<SlotLease>(Places, *Found.On);
+    auto Held = std::make_unique<SlotLease>(Places, *Found.On);
+    requireStanding();
+    return Held;
   }
   Host.metrics().count(Found.Overloaded
                            ? "refusals_total{cause=\"overloaded\"}"
--- a/src/goldcrestnotch/entry/context.hpp
+++ b/src/goldcrestnotch/entry/context.hpp
@@ -12,6 +12,7 @@
 #include "goldcrestnotch/kernel/await.hpp"
 #include "goldcrestnotch/kernel/kernel.hpp"
 #include "goldcrestnotch/ledger/service.hpp"
+#include "goldcrestnotch/membership/membership.hpp"
 #include "goldcrestnotch/placement/service.hpp"
 #include "goldcrestnotch/rollout/service.hpp"
 #include "goldcrestnotch/telemetry/span.hpp"
@@ -25,7 +26,8 @@
       : Host{Host}, Catalogs{Host.service<CatalogService>()},
         Ledger{Host.service<LedgerService>()},
         Places{Host.service<PlacementService>()},
-        Moves{Host.service<RolloutService>()} {}
+        Moves{Host.service<RolloutService>()},
+        Members{Host.service<Membership>()} {}
 
   [[nodiscard]] Kernel &host() noexcept { return Host; }
   [[nodiscard]] PlacementService &places() noexcept { return Places; }
@@ -45,6 +47,9 @@
   /// @brief Refuses work that this VM can't take.
   /// @throws Error with status 503.
   void requireServing() const;
+  /// @brief Refuses work once other VMs may have taken this one for gone.
+  /// @throws Error with status 503.
+  void requireStanding() const;
   /// @brief Finds a target and a slot.
   /// @throws Error with status 503, not run.
   [[nodiscard]] std::unique_ptr<SlotLease>
@@ -63,6 +68,7 @@
   LedgerService &Ledger;
   PlacementService &Places;
   RolloutService &Moves;
+  Membership &Members;
 };
 
 } // namespace goldcrestnotch
--- a/src/goldcrestnotch/membership/membership.cpp
+++ b/src/goldcrestnotch/membership/membership.cpp
@@ -22,7 +22,12 @@
 
 Membership::Membership(Kernel &Host) : Host{Host} { Host.emplace(*this); }
 
+void Membership::confirm(Instant Then) {
+  ServeDeadline = Then + Host.settings().GoneAfter * 9 / 10;
+}
+
 void Membership::start() {
+  confirm(DecisionClock::now());
   Current.watch(Host.self().Vm);
   boost::asio::spawn(Host.control(),
                      [this](boost::asio::yield_context Yield) { run(Yield); });
@@ -47,7 +52,8 @@
 void Membership::poll(boost::asio::yield_context Yield) {
   http::Request Asked;
   Asked.Path = "/v1/vms";
-  const auto Until = DecisionClock::now() + internal::PollLimit;
+  const auto Begun = DecisionClock::now();
+  const auto Until = Begun + internal::PollLimit;
   const auto Answer =
       http::Client{Yield, Host.settings().Platform}.send(Asked, Until);
   if (Answer.Status != 200) {
@@ -55,6 +61,9 @@
                 "the live list answered " + std::to_string(Answer.Status)};
   }
   Current.update(DecisionClock::now(), decodeLiveList(Answer.Body));
+  if (Current.vms().contains(Host.self().Vm)) {
+    confirm(Begun);
+  }
   std::atomic_store(
       &Shared, std::shared_ptr<const View>{std::make_shared<View>(Current)});
   Host.metrics().set("live_vms", static_cast<double>(Current.vms().size()));
--- a/src/goldcrestnotch/membership/membership.hpp
+++ b/src/goldcrestnotch/membership/membership.hpp
@@ -25,15 +25,25 @@
     return std::atomic_load(&Shared);
   }
 
+  /// @brief Whether this VM may still hold its rights: the others take a VM
+  /// for gone only later than this turns false. From any thread.
+  [[nodiscard]] bool mayServe(Instant Now) const noexcept {
+    return Now < ServeDeadline.load();
+  }
+
   void start() override;
 
 private:
   void run(boost::asio::yield_context Yield);
   void poll(boost::asio::yield_context Yield);
   void checkSelf();
+  /// @brief The platform is known to have listed this VM at an instant.
+  void confirm(Instant Then);
 
   Kernel &Host;
   View Current;
+  /// Nine tenths of `gone_after_ms` from the last list that showed this VM.
+  std::atomic<Instant> ServeDeadline{Instant{}};
   std::shared_ptr<const View> Shared = std::make_shared<View>();
 };
 
--- a/src/goldcrestnotch/recovery/sweeper.hpp
+++ b/src/goldcrestnotch/recovery/sweeper.hpp
@@ -37,9 +37,9 @@
 
 /// @brief Times of a sweeper.
 struct SweepTimes {
-  Millis GoneAfter;  ///< Off the live list this long, a VM is gone.
-  Millis Limit;      ///< After this, what is in doubt is written off.
-  Millis Every{500}; ///< Between sweeps for one holder.
+  Millis GoneAfter;   ///< Off the live list this long, a VM is gone.
+  Millis Limit;       ///< After this, what is in doubt is written off.
+  Millis Every{500};  ///< Between sweeps for one holder.
   Millis Skew{5'000}; ///< Between the clocks of engines and of the log.
 };
 
--- a/src/goldcrestnotch/settings/settings.hpp
+++ b/src/goldcrestnotch/settings/settings.hpp
@@ -32,7 +32,7 @@
   Millis AppendSpacing{50};      ///< Least time between appends to a stream.
   Millis GrantWait{1'500};       ///< Longest that a request waits for a grant.
   Millis SnapshotEvery{300'000}; ///< Between snapshots of each stream.
-  Millis GoneAfter{60'000};      ///< Off the live list this long, a VM is gone.
+  Millis GoneAfter{4'500'000};   ///< Off the live list this long, a VM is gone.
   Millis SweepLimit{300'000}; ///< After this, what is in doubt is written off.
 
   Millis FirstByteWait{30'000}; ///< For an answer's first byte.
