Move versions by a fold that decides from evidence, without a lead

Weighed: a lead elected by membership and fenced by epochs, against a fold in which every VM computes stage and end from the same records. The fold needs no election, no fencing and cannot tell two ends.

--- a/src/goldcrestnotch/catalog/catalog.cpp
+++ b/src/goldcrestnotch/catalog/catalog.cpp
@@ -63,6 +63,22 @@
   }
 }
 
+void Catalog::take(LogTime, const MoveEnded &Word) {
+  const auto It = Moves.find(Word.Name);
+  if (It == Moves.end() || It->second.Ended) {
+    return;
+  }
+  It->second.Ended = true;
+  const auto On = Routes.find(It->second.What.On);
+  const bool Stands =
+      On != Routes.end() && On->second.Version == It->second.What.From;
+  if (Word.Done && Stands) {
+    On->second.Version = It->second.What.To;
+    Version = Next;
+    Touched["route:" + On->first.str()] = Version;
+  }
+}
+
 std::vector<std::string> Catalog::conflicts(const Plan &Stated) const {
   std::vector<std::string> Result;
   for (const auto &One : Stated.Changes) {
@@ -86,6 +102,14 @@
         Result.push_back("route " + Moved->On.str() + " is not at version " +
                          Moved->From.str());
       }
+      if (Moves.contains(Moved->Name)) {
+        Result.push_back("there was a move " + Moved->Name.str() + " before");
+      }
+      for (const auto &[Name, Entry] : Moves) {
+        if (Entry.What.On == Moved->On && !Entry.Ended) {
+          Result.push_back("move " + Name.str() + " of the route is open");
+        }
+      }
     }
     if (const auto *Added = std::get_if<BudgetTopUp>(&One)) {
       const bool InPlan = std::any_of(
@@ -110,7 +134,7 @@
   } else if (const auto *T = std::get_if<Target>(&What)) {
     Targets[T->Name] = *T;
   } else if (const auto *M = std::get_if<Move>(&What)) {
-    Moves[M->Name] = {*M, Version, When};
+    Moves[M->Name] = {*M, Version, When, false};
   } else if (const auto *Gone = std::get_if<Removal>(&What)) {
     if (Gone->What == Removal::Kind::Workspace) {
       dropKey(WorkspaceId{Gone->Name});
@@ -205,6 +229,7 @@
     Result["moves"].push_back(
         {{"move", json::parse(encode(std::vector<Change>{Entry.What}))},
          {"version", Entry.Version},
+         {"ended", Entry.Ended},
          {"since", Entry.Since.time_since_epoch().count()}});
   }
   return Result.dump();
@@ -228,7 +253,8 @@
           std::get<Move>(decodeChanges(One.at("move").dump()).front());
       Result.Moves[What.Name] = {
           What, One.at("version").get<std::uint64_t>(),
-          LogTime{Millis{One.at("since").get<std::int64_t>()}}};
+          LogTime{Millis{One.at("since").get<std::int64_t>()}},
+          One.at("ended").get<bool>()};
     }
     Result.Touched =
         Source.at("touched").get<std::map<std::string, std::uint64_t>>();
--- a/src/goldcrestnotch/catalog/catalog.hpp
+++ b/src/goldcrestnotch/catalog/catalog.hpp
@@ -32,6 +32,7 @@
   Move What;
   std::uint64_t Version = 0; ///< Of its confirmation.
   LogTime Since{};
+  bool Ended = false;
 };
 
 /// @brief The published configuration after a prefix of the stream.
@@ -78,6 +79,7 @@
 private:
   void take(LogTime When, const Plan &Stated);
   void take(LogTime When, const Confirmation &Word);
+  void take(LogTime When, const MoveEnded &Word);
   void put(LogTime When, const Change &What);
   void dropKey(const WorkspaceId &Name);
   void forget(LogTime Now);
--- a/src/goldcrestnotch/catalog/change.cpp
+++ b/src/goldcrestnotch/catalog/change.cpp
@@ -347,6 +347,9 @@
                 {"changes", internal::write(Stated->Changes)}}
         .dump();
   }
+  if (const auto *Moved = std::get_if<MoveEnded>(&Source)) {
+    return json{{"move", Moved->Name.str()}, {"done", Moved->Done}}.dump();
+  }
   const auto &Word = std::get<Confirmation>(Source);
   return json{{"confirm", Word.Name.str()}, {"by", Word.Operator}}.dump();
 }
@@ -358,6 +361,10 @@
       return Confirmation{PlanId{Source.at("confirm").get<std::string>()},
                           Source.at("by").get<std::string>()};
     }
+    if (Source.contains("move")) {
+      return MoveEnded{MoveId{Source.at("move").get<std::string>()},
+                       Source.at("done").get<bool>()};
+    }
     Plan Result;
     Result.Name = PlanId{Source.at("plan").get<std::string>()};
     Result.Operator = Source.at("by").get<std::string>();
--- a/src/goldcrestnotch/catalog/change.hpp
+++ b/src/goldcrestnotch/catalog/change.hpp
@@ -83,8 +83,14 @@
   std::string Operator;
 };
 
+/// @brief A move has ended; a done one sets its route's version.
+struct MoveEnded {
+  MoveId Name;
+  bool Done = false;
+};
+
 /// @brief A record of the `config` stream.
-using ConfigRecord = std::variant<Plan, Confirmation>;
+using ConfigRecord = std::variant<Plan, Confirmation, MoveEnded>;
 
 /// @brief What the catalog keeps of a workspace's key.
 [[nodiscard]] std::string keyDigest(std::string_view Key);
--- a/src/goldcrestnotch/rollout/fwd.hpp
+++ b/src/goldcrestnotch/rollout/fwd.hpp
@@ -6,6 +6,10 @@
 namespace goldcrestnotch {
 
 struct Observation;
+struct Evidence;
+struct MoveState;
+class MoveBook;
+class Brake;
 class RolloutService;
 
 } // namespace goldcrestnotch
--- a/standin/engine.cpp
+++ b/standin/engine.cpp
@@ -121,9 +121,9 @@
       }
     }
     const auto Lost = Forgotten.find(Owner);
-    return answer({{"streams", Rows},
-                   {"forgotten_ms",
-                    Lost == Forgotten.end() ? 0 : Lost->second}});
+    return answer(
+        {{"streams", Rows},
+         {"forgotten_ms", Lost == Forgotten.end() ? 0 : Lost->second}});
   }
 
   void generate(Exchange &Talk) {
