Let the bound of a fault test grow with the requests seen

Cause: each request is one more chance to be fooled, so a fixed bound took back 5 of 100 good moves at 300 requests/s with 0.1 % ordinary failures.

--- a/bench/moves.cpp
+++ b/bench/moves.cpp
@@ -70,8 +70,11 @@
   auto GoodOutage = Outage;
   GoodOutage.What = Badness::None;
   GoodOutage.OutageFor = Millis{20'000};
+  auto Noisy = trial(300, Minute, Badness::None);
+  Noisy.UsualFailures = 0.01;
   const std::vector<Row> Rows{
       {"good", trial(300, Minute, Badness::None)},
+      {"good, usual faults 1 %", Noisy},
       {"good, few", trial(0.002, Day, Badness::None)},
       {"good, log out 20 s", GoodOutage},
       {"fails at once", trial(300, Minute, Badness::AtOnce)},
--- a/src/goldcrestnotch/rollout/move_book.cpp
+++ b/src/goldcrestnotch/rollout/move_book.cpp
@@ -29,8 +29,9 @@
 /// A stage without enough requests ends when this much of a further stage's
 /// time has passed.
 static constexpr double StarvedWait = 0.5;
-/// Evidence ratio, as a natural logarithm, that ends a move.
-static constexpr double Threshold = 6.9;
+/// Chance that a good move is taken back by one kind of ordinary fault.
+static constexpr double FalseAlarm = 0.0005;
+static constexpr std::uint64_t LeastSeen = 3;
 static constexpr double LeastUsual = 0.002;
 static constexpr double LeastBad = 0.2;
 static constexpr double MostBad = 0.95;
@@ -71,9 +72,14 @@
   Sum += static_cast<double>(Faults) * std::log(Bad / Good) +
          Passed * std::log((1 - Bad) / (1 - Good));
   Sum = std::max(Sum, 0.0);
+  Seen += Requests;
 }
 
-bool FaultTest::bad() const noexcept { return Sum > internal::Threshold; }
+bool FaultTest::bad() const noexcept {
+  // Each request is a chance to be fooled, so the bound grows with their count.
+  const auto Count = static_cast<double>(std::max(Seen, internal::LeastSeen));
+  return Sum > std::log(Count / internal::FalseAlarm);
+}
 
 std::string_view toString(MoveEnd End) noexcept {
   switch (End) {
@@ -237,6 +243,7 @@
               {"fed", At.StageRequests},
               {"failures", At.Failures.Sum},
               {"slowness", At.Slowness.Sum},
+              {"tested", At.Failures.Seen},
               {"last", json::array()}};
   for (const auto &[Seer, Seen] : At.Last) {
     Result["last"].push_back(json::parse(encode(RolloutRecord{Seen})));
@@ -258,6 +265,8 @@
   At.StageRequests = Source.at("fed").get<std::uint64_t>();
   At.Failures.Sum = Source.at("failures").get<double>();
   At.Slowness.Sum = Source.at("slowness").get<double>();
+  At.Failures.Seen = Source.at("tested").get<std::uint64_t>();
+  At.Slowness.Seen = At.Failures.Seen;
   for (const auto &One : Source.at("last")) {
     const auto Seen = std::get<Evidence>(decodeRollout(One.dump()));
     At.Last[Seen.Seer] = Seen;
--- a/src/goldcrestnotch/rollout/move_book.hpp
+++ b/src/goldcrestnotch/rollout/move_book.hpp
@@ -18,6 +18,7 @@
 /// log-likelihood ratios that never falls below zero.
 struct FaultTest {
   double Sum = 0;
+  std::uint64_t Seen = 0; ///< Requests so far.
 
   /// @brief Takes new counts in.
   /// @param Usual The old version's share of such faults.
--- /dev/null
+++ b/test/goldcrestnotch/rollout/brake_test.cpp
@@ -0,0 +1,64 @@
+/// @file
+/// The local brake on a moving version.
+
+#include "goldcrestnotch/rollout/brake.hpp"
+
+#include <gtest/gtest.h>
+
+namespace goldcrestnotch {
+namespace {
+
+const Move Given{MoveId{"m"}, RouteId{"chat"}, VersionId{"v1"}, VersionId{"v2"},
+                 LogTime{}};
+constexpr Instant Start{Millis{1'000}};
+
+Observation seen(const VersionId &Version, bool Failed, Millis First) {
+  return {Given.On, Version, Failed, First, Millis{5}};
+}
+
+TEST(Brake, FirstFailureStopsTheNextRequest) {
+  Brake Local{Given};
+  EXPECT_TRUE(Local.open(Start));
+  Local.observe(Start, seen(Given.To, true, Millis{0}));
+  EXPECT_FALSE(Local.open(Start));
+  EXPECT_TRUE(Local.urgent());
+}
+
+TEST(Brake, FailureOfTheOldVersionStopsNothing) {
+  Brake Local{Given};
+  Local.observe(Start, seen(Given.From, true, Millis{0}));
+  EXPECT_TRUE(Local.open(Start));
+}
+
+TEST(Brake, AnswerMuchSlowerThanUsualIsAFault) {
+  Brake Local{Given};
+  for (int I = 0; I < 5; ++I) {
+    Local.observe(Start, seen(Given.From, false, Millis{30}));
+  }
+  Local.observe(Start, seen(Given.To, false, Millis{200}));
+  EXPECT_FALSE(Local.open(Start));
+  EXPECT_EQ(Local.newCounts().Slow, 1U);
+}
+
+TEST(Brake, AnswerWithinTheGoalIsGoodWhereNothingIsUsual) {
+  Brake Local{Given};
+  Local.observe(Start, seen(Given.To, false, Millis{200}));
+  EXPECT_TRUE(Local.open(Start));
+}
+
+TEST(Brake, EachPauseIsLongerThanTheLast) {
+  Brake Local{Given};
+  Local.observe(Start, seen(Given.To, true, Millis{0}));
+  Local.observe(Start, seen(Given.To, true, Millis{0}));
+  EXPECT_FALSE(Local.open(Start + Millis{1'500}));
+  EXPECT_TRUE(Local.open(Start + Millis{2'000}));
+}
+
+TEST(Brake, NothingGoesToTheNewVersionPastItsDeadline) {
+  Brake Local{Given};
+  Local.expire(Start);
+  EXPECT_FALSE(Local.open(Start));
+}
+
+} // namespace
+} // namespace goldcrestnotch
