--- /dev/null
+++ b/scenarios/config_everywhere.lua
@@ -0,0 +1,71 @@
+-- An accepted change is in force on every VM within 3 s, also on one that is
+-- cut off from the platform; racing operators get one winner; nothing reverts
+-- through restarts, log outages and trimmed offsets.
+
+local f = fleet{vms = 4, settings = {ledger = {snapshot_every_ms = 300}}}
+f:engine("engine1")
+f:basics(10000)
+
+local function route_version(vm)
+  local status, body = operator(vm, "GET", "status")
+  if status ~= 200 then return nil end
+  for _, row in ipairs(body.routes) do
+    if row.route == "stock" then return row.version, body.version end
+  end
+end
+
+local function everywhere(version, limit_ms, vms)
+  for _, vm in ipairs(vms or f.vms) do
+    eventually(limit_ms, version .. " is in force at " .. vm.name, function()
+      return route_version(vm) == version
+    end)
+  end
+end
+
+local function stock(version)
+  return {{kind = "route", name = "stock", serves = "service", idempotent = true, version = version}}
+end
+
+sleep_ms(1500) -- VMs have found each other.
+cut(f.vms[4])
+f:change(stock("v2"))
+everywhere("v2", 3000)
+
+-- Two operators race on the same base.
+local _, one = operator(f.vms[1], "POST", "intents", stock("v3"))
+local _, two = operator(f.vms[2], "POST", "intents", stock("v4"))
+local first = operator(f.vms[1], "POST", "plans/" .. one.plan .. "/confirm")
+local second, loser = operator(f.vms[2], "POST", "plans/" .. two.plan .. "/confirm")
+expect(first == 200 and second == 409, "one wins, one loses: %s %s", first, second)
+expect(#loser.conflicts > 0, "the loser is told why")
+everywhere("v3", 3000)
+
+-- The answer of a confirmation is lost; repeating it is harmless.
+local _, lost = operator(f.vms[1], "POST", "intents", stock("v5"))
+switch(f.platform, {lose_answers = 2})
+local status, body = operator(f.vms[1], "POST", "plans/" .. lost.plan .. "/confirm")
+local again, same = operator(f.vms[2], "POST", "plans/" .. lost.plan .. "/confirm")
+expect(again == 200 and same.state == "accepted", "accepted once: %s", json_encode(same))
+heal(f.vms[4])
+everywhere("v5", 3000)
+
+-- Old offsets go; a restarted VM begins from a snapshot and never goes back.
+sleep_ms(1500)
+switch(f.platform, {retention_ms = 1000})
+sleep_ms(2500)
+f:change(stock("v6"))
+local _, before = route_version(f.vms[1])
+kill(f.vms[2])
+f:start_vm(f.vms[2])
+f:await_ready(f.vms[2])
+local version, after = route_version(f.vms[2])
+expect(version == "v6" and after >= before, "the restarted VM is at %s", version)
+expect(whole(chat(f.vms[2])), "and serves")
+
+-- The log is out: a restarted VM serves nothing old, the others go on.
+switch(f.platform, {outage = true})
+for _, vm in ipairs(f.vms) do
+  expect(route_version(vm) == "v6", "%s keeps its version in the outage", vm.name)
+end
+switch(f.platform, {outage = false, retention_ms = 3600000})
+everywhere("v6", 3000)
--- a/scenarios/prelude.lua
+++ b/scenarios/prelude.lua
@@ -131,9 +131,11 @@
     return process_output(vm.name):match('"entry":"([%d.:]+)"')
   end)
   vm.address = entry
-  vm.peer = process_output(vm.name):match('"peer":"([%d.:]+)"')
+  vm.peer = eventually(READY_MS, vm.name .. " listens for peers", function()
+    return process_output(vm.name):match('"peer":"([%d.:]+)"')
+  end)
   relay_set(vm.entry_relay, "aim", vm.address)
-  if vm.peer then relay_set(vm.peer_relay, "aim", vm.peer) end
+  relay_set(vm.peer_relay, "aim", vm.peer)
 end
 
 -- Publishes the platform's live list.
--- a/src/goldcrestnotch/rollout/service.hpp
+++ b/src/goldcrestnotch/rollout/service.hpp
@@ -39,6 +39,12 @@
   /// @warning For the control thread only.
   [[nodiscard]] nlohmann::json status() const;
 
+  /// @warning For the control thread only.
+  [[nodiscard]] const MoveBook &book() const noexcept { return Source.fold(); }
+  /// @brief Takes a newer state that a peer has.
+  /// @warning For the control thread only.
+  void adopt(const std::string &Saved) { Source.adopt(Saved); }
+
   void start() override;
 
 private:
--- a/src/goldcrestnotch/settings/settings.cpp
+++ b/src/goldcrestnotch/settings/settings.cpp
@@ -28,6 +28,11 @@
   return Text;
 }
 
+[[nodiscard]] static std::string dotted(const std::string &Section,
+                                        const std::string &Key) {
+  return Section + "." + Key;
+}
+
 /// @brief Takes keys out of a TOML document and collects faults.
 class SettingsReader {
 public:
@@ -126,7 +131,7 @@
       }
       for (const auto &[Key, Value] : *Table) {
         const std::string KeyName{Key.str()};
-        if (!Known.contains(Name + "." + KeyName)) {
+        if (!Known.contains(dotted(Name, KeyName))) {
           fault(Value, Name.c_str(), KeyName.c_str(), "is not a known key");
         }
       }
@@ -143,7 +148,7 @@
   [[nodiscard]] const toml::node *find(const char *Section, const char *Key,
                                        bool Required) {
     Sections.insert(Section);
-    Known.insert(std::string{Section} + "." + Key);
+    Known.insert(dotted(Section, Key));
     const auto Node = Root[Section][Key];
     if (!Node && Required) {
       const auto Missing = File + ": " + Section + "." + Key + " is missing";
