--- a/scenarios/prelude.lua
+++ b/scenarios/prelude.lua
@@ -126,7 +126,7 @@
     for key, value in pairs(keys) do sections[section][key] = value end
   end
   local path = write_file(vm.name .. ".toml", toml(sections))
-  process_start(vm.name, "daemon", {"--config", path})
+  vm.pid = process_start(vm.name, "daemon", {"--config", path})
   local entry = eventually(READY_MS, vm.name .. " listens", function()
     return process_output(vm.name):match('"entry":"([%d.:]+)"')
   end)
--- a/scenarios/runner/vocabulary.cpp
+++ b/scenarios/runner/vocabulary.cpp
@@ -11,6 +11,7 @@
 #include <lua.hpp>
 
 #include "goldcrestnotch/core/instant.hpp"
+#include "load.hpp"
 
 namespace scenario {
 
@@ -204,6 +205,8 @@
   return true;
 }
 
+json loadWord(Stage &, const json &Given) { return runLoad(Given.at(0)); }
+
 json sleepFor(Stage &, const json &Given) {
   std::this_thread::sleep_for(
       std::chrono::milliseconds{Given.at(0).get<std::int64_t>()});
@@ -243,9 +246,9 @@
       {"write_file", writeFile},       {"call_start", startCall},
       {"call_wait", waitCall},         {"call_received", receivedBytes},
       {"relay_start", startRelay},     {"relay_set", setRelay},
-      {"sleep_ms", sleepFor},          {"now_ms", nowMillis},
-      {"wall_ms", wallMillis},         {"json_encode", encodeJson},
-      {"json_decode", decodeJson}};
+      {"load_run", loadWord},          {"sleep_ms", sleepFor},
+      {"now_ms", nowMillis},           {"wall_ms", wallMillis},
+      {"json_encode", encodeJson},     {"json_decode", decodeJson}};
   for (const auto &[Name, Called] : Words) {
     lua_pushlightuserdata(State, this);
     lua_pushlightuserdata(State, reinterpret_cast<void *>(Called));
--- a/src/goldcrestnotch/http/server.cpp
+++ b/src/goldcrestnotch/http/server.cpp
@@ -3,6 +3,7 @@
 
 #include "goldcrestnotch/http/server.hpp"
 
+#include <array>
 #include <atomic>
 #include <exception>
 #include <mutex>
@@ -26,6 +27,10 @@
 
 namespace internal {
 
+static constexpr std::size_t LingerPiece = 4'096;
+static constexpr std::size_t LingerBytes = 16'777'216;
+static constexpr Millis LingerWait{2'000};
+
 /// @brief An `Exchange` over a Beast stream.
 class StreamExchange final : public Exchange {
 public:
@@ -267,6 +272,20 @@
     }
     internal::StreamExchange Talk{Socket, Bounds, Request{}, false, Yield};
     Talk.reply(Answer);
+    linger(Socket, Yield);
+  }
+
+  /// @brief Reads what the caller still sends, for a while: closing with bytes
+  /// unread would take the answer back on its way.
+  void linger(Stream &Socket, asio::yield_context Yield) {
+    boost::system::error_code Failure;
+    Socket.socket().shutdown(tcp::socket::shutdown_send, Failure);
+    std::array<char, internal::LingerPiece> Discarded{};
+    std::size_t Total = 0;
+    Socket.expires_after(internal::LingerWait);
+    while (!Failure && Total < internal::LingerBytes) {
+      Total += Socket.async_read_some(asio::buffer(Discarded), Yield[Failure]);
+    }
   }
 
   void markIdle(const std::shared_ptr<Stream> &Socket) {
--- /dev/null
+++ b/test/goldcrestnotch/settings/settings_test.cpp
@@ -0,0 +1,72 @@
+/// @file
+/// Checks of settings files.
+
+#include "goldcrestnotch/settings/settings.hpp"
+
+#include <gtest/gtest.h>
+
+namespace goldcrestnotch {
+namespace {
+
+constexpr const char *Good = R"([vm]
+name = "vm1"
+domain = "dakar-1"
+entry = "127.0.0.1:8000"
+peer = "127.0.0.1:8001"
+[platform]
+address = "127.0.0.1:9000"
+[keys]
+operator = "operator-key-0123456789"
+peer = "peer-key-0123456789abcd"
+)";
+
+std::vector<std::string> faultsOf(const std::string &Text) {
+  try {
+    (void)Settings::parse(Text, "vm.toml");
+  } catch (const SettingsError &Failure) {
+    return Failure.faults();
+  }
+  return {};
+}
+
+TEST(Settings, GoodFileIsRead) {
+  const auto Given = Settings::parse(Good, "vm.toml");
+  EXPECT_EQ(Given.Vm, VmId{"vm1"});
+  EXPECT_EQ(Given.Entry.Port, 8000);
+}
+
+TEST(Settings, EveryFaultIsNamedAtOnce) {
+  const auto Faults = faultsOf(std::string{Good} + R"([traffic]
+max_streams = -1
+between_ms = "soon"
+colour = "blue"
+[nonsense]
+)");
+  ASSERT_EQ(Faults.size(), 4U);
+  EXPECT_EQ(Faults[0].rfind("vm.toml:13: traffic.between_ms", 0), 0U);
+}
+
+TEST(Settings, MissingKeysAreNamed) { EXPECT_EQ(faultsOf("").size(), 7U); }
+
+TEST(Settings, SyntaxFaultHasItsLine) {
+  const auto Faults = faultsOf("[vm]\nname = \n");
+  ASSERT_EQ(Faults.size(), 1U);
+  EXPECT_EQ(Faults[0].rfind("vm.toml:2:", 0), 0U);
+}
+
+TEST(Settings, ClashesAreFound) {
+  std::string Text = Good;
+  const auto At = Text.find("8001");
+  Text.replace(At, 4, "8000");
+  EXPECT_EQ(faultsOf(Text).size(), 1U);
+}
+
+TEST(Settings, ShortSecretIsRefused) {
+  std::string Text = Good;
+  const auto At = Text.find("operator-key-0123456789");
+  Text.replace(At, 23, "short");
+  EXPECT_EQ(faultsOf(Text).size(), 1U);
+}
+
+} // namespace
+} // namespace goldcrestnotch
