Append bills lazily; look only at pools that changed; bound what the kernel holds

Causes found: a lazy draw made ahead held a waiting request's urgent draw up for a second (crash_mid_stream failed; a waiting request now hurries it). A caller that reads nothing left hundreds of KB in the kernel's send buffer, which autotunes to megabytes, so the stall showed only after that: socket buffers are now 64 KiB on both sides.

--- a/src/goldcrestnotch/http/client.cpp
+++ b/src/goldcrestnotch/http/client.cpp
@@ -18,6 +18,8 @@
 
 namespace internal {
 
+/// What the kernel may hold of an answer that is not read on.
+static constexpr int SocketBytes = 65'536;
 static constexpr std::size_t ReadBytes = 16'384;
 static constexpr std::uint64_t BodyBytes = 64ULL * 1024 * 1024;
 
@@ -58,6 +60,12 @@
     expire(Until);
     const auto Address = asio::ip::make_address(Where.Address, Failure);
     if (!Failure) {
+      const tcp::endpoint Far{Address, Where.Port};
+      Socket.socket().open(Far.protocol(), Failure);
+    }
+    if (!Failure) {
+      Socket.socket().set_option(
+          asio::socket_base::receive_buffer_size(SocketBytes), Failure);
       Socket.async_connect(tcp::endpoint{Address, Where.Port}, Yield[Failure]);
     }
     if (Failure) {
--- a/src/goldcrestnotch/http/server.cpp
+++ b/src/goldcrestnotch/http/server.cpp
@@ -27,6 +27,8 @@
 
 namespace internal {
 
+/// What the kernel may hold of an answer that its caller does not read.
+static constexpr int SocketBytes = 65'536;
 static constexpr std::size_t LingerPiece = 4'096;
 static constexpr std::size_t LingerBytes = 16'777'216;
 static constexpr Millis LingerWait{2'000};
@@ -203,6 +205,8 @@
         continue;
       }
       Socket->socket().set_option(tcp::no_delay(true), Failure);
+      Socket->socket().set_option(
+          asio::socket_base::send_buffer_size(internal::SocketBytes), Failure);
       auto Self = shared_from_this();
       ++Open;
       asio::spawn(Socket->get_executor(),
--- a/src/goldcrestnotch/ledger/book.cpp
+++ b/src/goldcrestnotch/ledger/book.cpp
@@ -98,7 +98,7 @@
   if (!Plans.insert(What.Plan).second) {
     return;
   }
-  auto &Target = Pools[What.Pool];
+  auto &Target = touch(What.Pool);
   if (What.Amount < Tokens{0} && Target.free() + What.Amount < Tokens{0}) {
     ++Counters.Refused;
     return;
@@ -108,7 +108,7 @@
 }
 
 void Book::take(const Batch &, const Capacity &What) {
-  auto &Target = Pools[What.Pool];
+  auto &Target = touch(What.Pool);
   if (What.Version <= Target.Version) {
     return;
   }
@@ -123,13 +123,19 @@
     ++Counters.Refused;
     return;
   }
-  auto &From = It->second;
+  auto &From = touch(What.Pool);
   std::erase_if(From.Short,
                 [&](const Shortage &S) { return S.Holder == Record.Holder; });
   From.Short.push_back({Record.Holder, What.Want, What.Floor});
   serve(From);
 }
 
+Pool &Book::touch(const PoolId &Name) {
+  auto &Found = Pools[Name];
+  Found.Changed = Next;
+  return Found;
+}
+
 void Book::serve(Pool &From) {
   auto Free = From.free();
   std::erase_if(From.Short, [&](const Shortage &S) {
@@ -161,6 +167,7 @@
   }
   remember(What);
   if (Paid > Tokens{0}) {
+    It->second.Changed = Next;
     internal::subtract(From, Payer, Paid);
     It->second.Billed += Paid;
   }
@@ -173,6 +180,7 @@
     return;
   }
   if (What.Amount > Tokens{0}) {
+    It->second.Changed = Next;
     internal::subtract(It->second.Granted, Record.Holder, What.Amount);
     serve(It->second);
   }
@@ -224,6 +232,7 @@
       Target.WrittenOff += It->second;
     }
     Target.Doubt.erase(It);
+    Target.Changed = Next;
     serve(Target);
   }
 }
@@ -232,6 +241,7 @@
   Sequences.erase(Dead);
   bool Holds = false;
   for (auto &[Name, Target] : Pools) {
+    Target.Changed = Next;
     std::erase_if(Target.Short,
                   [&](const Shortage &S) { return S.Holder == Dead; });
     const auto It = Target.Granted.find(Dead);
--- a/src/goldcrestnotch/ledger/book.hpp
+++ b/src/goldcrestnotch/ledger/book.hpp
@@ -39,6 +39,7 @@
   std::map<HolderId, Tokens> Granted; ///< Each above zero.
   std::map<HolderId, Tokens> Doubt;   ///< Grants of dead holders, not settled.
   std::vector<Shortage> Short;        ///< First come, first served.
+  std::uint64_t Changed = 0; ///< Offset behind the last change; not saved.
 
   /// @brief What no holder has.
   [[nodiscard]] Tokens free() const noexcept;
@@ -130,6 +131,7 @@
   void take(const Batch &Record, const Retire &What);
   void take(const Batch &Record, const Settle &What);
 
+  [[nodiscard]] Pool &touch(const PoolId &Name);
   void retire(const HolderId &Dead);
   void serve(Pool &From);
   void remember(const Bill &What);
--- a/src/goldcrestnotch/ledger/holder.hpp
+++ b/src/goldcrestnotch/ledger/holder.hpp
@@ -95,7 +95,8 @@
     Desk.Reserved -= Bound;
     Spent = std::min(Spent, Bound);
     if (Spent > Tokens{0}) {
-      const auto Sequence = Out.emplace(Bill{Name, Request, Spent, Keyed, {}});
+      const auto Sequence =
+          Out.emplace(Bill{Name, Request, Spent, Keyed, {}}, Urgency::Lazy);
       Desk.Unreported.emplace_back(Sequence, Spent);
       note(Desk, Now, Spent);
     }
@@ -109,6 +110,9 @@
     for (auto &[Name, Desk] : Desks) {
       std::erase_if(Desk.Unreported,
                     [&](const auto &Sent) { return Sent.first <= Kept; });
+      if (settled(Now, Source, Name, Desk)) {
+        continue;
+      }
       auto Some = serve(Now, Source, Name, Desk);
       Result.insert(Result.end(), Some.begin(), Some.end());
       yieldSurplus(Now, Source, Name, Desk);
@@ -127,6 +131,9 @@
   }
 
 private:
+  /// Demand fades without a record, so each pool is looked at this often.
+  static constexpr Millis LookEvery{1'000};
+
   struct Waiter {
     std::uint64_t Ticket = 0;
     Tokens Bound;
@@ -143,6 +150,8 @@
     Instant IdleDeadline = Instant::max(); ///< When a surplus goes back.
     double Rate = 0;                       ///< Tokens a second.
     Instant RateTime{};
+    std::uint64_t Seen = 0; ///< The pool's `Changed` at the last look.
+    Instant LookDeadline{}; ///< When to look again though nothing changed.
   };
 
   [[nodiscard]] Tokens available(const Book &Source, const PoolId &Name,
@@ -198,7 +207,13 @@
   void draw(Instant Now, const Book &Source, const PoolId &Name, Desk &At,
             Tokens Free) {
     const auto *Found = Source.find(Name);
-    if (Found == nullptr || pending(Source, At)) {
+    if (Found == nullptr) {
+      return;
+    }
+    if (pending(Source, At)) {
+      if (!At.Queue.empty()) {
+        Out.hurry();
+      }
       return;
     }
     const Tokens Need = needed(At);
@@ -218,11 +233,27 @@
     if ((Floor > Tokens{0} && Changed) || Grantable) {
       const Tokens Want =
           std::max({Target - Free - At.Reserved, Need - Free, Floor});
-      At.DrawSequence = Out.emplace(Draw{Name, Want, Floor});
+      At.DrawSequence =
+          Out.emplace(Draw{Name, Want, Floor},
+                      Floor > Tokens{0} ? Urgency::Now : Urgency::Lazy);
       At.DrawFloor = Floor;
     }
   }
 
+  /// @brief Whether nothing has happened to a pool since the last look.
+  [[nodiscard]] static bool settled(Instant Now, const Book &Source,
+                                    const PoolId &Name, Desk &At) {
+    const auto *Found = Source.find(Name);
+    const auto Changed = Found == nullptr ? 0 : Found->Changed;
+    if (Changed == At.Seen && At.Queue.empty() && At.Unreported.empty() &&
+        Now < At.LookDeadline) {
+      return true;
+    }
+    At.Seen = Changed;
+    At.LookDeadline = Now + LookEvery;
+    return false;
+  }
+
   [[nodiscard]] bool pending(const Book &Source,
                              const Desk &At) const noexcept {
     return At.DrawSequence > Source.sequence(Out.self());
@@ -280,14 +311,16 @@
       At.IdleDeadline = Now + Times.Idle;
     }
     if (Now >= At.IdleDeadline) {
-      giveBack(Name, At, std::min(Free, Surplus));
+      giveBack(Name, At, std::min(Free, Surplus), Urgency::Lazy);
       At.IdleDeadline = Instant::max();
     }
   }
 
-  void giveBack(const PoolId &Name, Desk &At, Tokens Amount) {
+  void giveBack(const PoolId &Name, Desk &At, Tokens Amount,
+                Urgency When = Urgency::Now) {
     if (Amount > Tokens{0}) {
-      At.Unreported.emplace_back(Out.emplace(Return{Name, Amount}), Amount);
+      At.Unreported.emplace_back(Out.emplace(Return{Name, Amount}, When),
+                                 Amount);
     }
   }
 
--- a/src/goldcrestnotch/ledger/journal.hpp
+++ b/src/goldcrestnotch/ledger/journal.hpp
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -15,9 +16,15 @@
 
 namespace goldcrestnotch {
 
+/// @brief Whether somebody waits for an item to stand in the log.
+enum class Urgency : std::uint8_t { Now, Lazy };
+
 /// @brief An ordered outbox of ledger items.
 class Journal {
 public:
+  /// How long lazy items may wait for others to share an append with.
+  static constexpr Millis LazyWait{1'000};
+
   /// @param Self The holder whose batches these are; the first batch joins.
   /// @param Spacing Least time between the starts of two appends.
   Journal(HolderId Self, Millis Spacing)
@@ -34,8 +41,9 @@
 
   /// @brief Adds an item behind those that wait.
   /// @return The sequence number of its batch.
-  std::uint64_t emplace(Item What) {
+  std::uint64_t emplace(Item What, Urgency When = Urgency::Now) {
     Waiting.push_back(std::move(What));
+    Urgent = Urgent || When == Urgency::Now;
     return upcoming();
   }
 
@@ -44,8 +52,13 @@
     if (Busy || Now < Earliest || (!Flying && Waiting.empty())) {
       return std::nullopt;
     }
+    if (!Flying && !Urgent && !lazyDue(Now)) {
+      return std::nullopt;
+    }
     if (!Flying) {
       Flying = Batch{Self, ++Sequence, std::exchange(Waiting, {})};
+      Urgent = false;
+      LazyDeadline = Instant{};
     }
     Busy = true;
     Earliest = Now + Spacing;
@@ -55,7 +68,10 @@
   /// @brief When `poll` should be asked again; nothing to append gives the
   /// farthest instant.
   [[nodiscard]] Instant deadline() const noexcept {
-    return Busy || (!Flying && Waiting.empty()) ? Instant::max() : Earliest;
+    if (Busy || (!Flying && Waiting.empty())) {
+      return Instant::max();
+    }
+    return Flying || Urgent ? Earliest : std::max(Earliest, LazyDeadline);
   }
 
   /// @brief The append ended without an answer; it may have taken effect.
@@ -72,14 +88,27 @@
     }
   }
 
+  /// @brief Lets lazy items wait no longer.
+  void hurry() noexcept { Urgent = Urgent || !Waiting.empty(); }
+
 private:
+  /// @brief Whether lazy items have waited long enough; begins their wait.
+  [[nodiscard]] bool lazyDue(Instant Now) noexcept {
+    if (LazyDeadline == Instant{}) {
+      LazyDeadline = Now + LazyWait;
+    }
+    return Now >= LazyDeadline;
+  }
+
   HolderId Self;
   Millis Spacing;
   std::vector<Item> Waiting;
   std::optional<Batch> Flying; ///< Appended at least once, not known as kept.
   std::uint64_t Sequence = 0;  ///< Of the last batch formed.
   Instant Earliest{};
-  bool Busy = false; ///< An append of `Flying` awaits its answer.
+  bool Urgent = false;    ///< Of the waiting items, one at least is.
+  Instant LazyDeadline{}; ///< Of lazy items; the epoch before their wait.
+  bool Busy = false;      ///< An append of `Flying` awaits its answer.
 };
 
 } // namespace goldcrestnotch
--- a/src/goldcrestnotch/ledger/service.cpp
+++ b/src/goldcrestnotch/ledger/service.cpp
@@ -227,6 +227,7 @@
 void LedgerShard::surrender() {
   Budgets.surrender(book());
   Slots.surrender(book());
+  Out.hurry();
   kick();
 }
 
--- a/test/goldcrestnotch/ledger/holder_test.cpp
+++ b/test/goldcrestnotch/ledger/holder_test.cpp
@@ -17,6 +17,7 @@
   Bench() { flush(); }
 
   void flush() {
+    Out.hurry();
     while (const auto Next = Out.poll(Now)) {
       Source.apply(Offset++, {}, *Next);
       Out.acknowledge(Next->Sequence);
@@ -97,6 +98,24 @@
   EXPECT_EQ(std::get<Admitted>(Some.front()).Ticket, 1U);
 }
 
+TEST(Holder, WaitingRequestHurriesADrawMadeAhead) {
+  Bench On;
+  On.fund(1'000'000);
+  (void)On.request(100);
+  On.flush();
+  (void)On.poll();
+  On.Desk.settle(On.Now, Stall, Tokens{100}, Tokens{100}, RequestId{"r"},
+                 false);
+  On.flush();
+  (void)On.poll(); // Draws ahead for the demand it has seen.
+  const auto Draws = On.Out.size();
+  ASSERT_GT(Draws, 0U);
+  On.Now += Millis{1};
+  EXPECT_FALSE(On.Out.poll(On.Now));
+  (void)On.request(100);
+  EXPECT_TRUE(On.Out.poll(On.Now));
+}
+
 TEST(Holder, GivesBackWhatAnotherIsShortOf) {
   Bench On;
   On.fund(100);
