--- a/scenarios/demo.lua
+++ b/scenarios/demo.lua
@@ -27,8 +27,26 @@
   return n
 end)())
 
-process_start("ctl", "ctl", {"--server", f.vms[1].address, "--key-file",
-              write_file("operator.key", OPERATOR_KEY), "spend"})
-process_wait("ctl", 5000)
-sleep_ms(100)
-say("%s", process_output("ctl"))
+
+local key = write_file("operator.key", OPERATOR_KEY)
+local function ctl(...)
+  process_start("ctl", "ctl", {"--server", f.vms[1].address, "--key-file", key, ...})
+  local code = process_wait("ctl", 15000)
+  sleep_ms(100)
+  say("$ goldcrestctl %s\n%s", table.concat({...}, " "), process_output("ctl"))
+  return code
+end
+
+local fresh = f:engine("engine5", {capacity = 8})
+f:change{target_change(fresh, "chat", "v2")}
+expect(ctl("--yes", "move", "spring", "chat", "v1", "v2", "8") == 0, "the move is confirmed")
+local until_ms, sent, answered = now_ms() + 8500, 0, 0
+while now_ms() < until_ms do
+  if whole(chat(f.vms[sent % 8 + 1], {tokens = 4})) then answered = answered + 1 end
+  sent = sent + 1
+end
+say("chats during the move: %d of %d answered", answered, sent)
+expect(answered == sent, "no caller notices the move")
+expect(ctl("status") == 0, "status")
+expect(ctl("spend") == 0, "spend")
+expect(ctl("fleet") == 0, "fleet")
