--- a/app/goldcrestnotchd/main.cpp
+++ b/app/goldcrestnotchd/main.cpp
@@ -2,6 +2,7 @@
 /// The daemon: reads the command line and settings, then runs the kernel.
 
 #include <chrono>
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -52,7 +53,9 @@
   startLogging(Given.Level, Given.Vm.str());
   try {
     Kernel Host{Given, HolderId{Given.Vm, newIncarnation()}};
-    return Host.run();
+    // Requests that outlived the drain limit end with the process: unwinding
+    // their coroutines would reach into services that are gone.
+    std::quick_exit(Host.run());
   } catch (const boost::system::system_error &Failure) {
     log(LogLevel::Error, "vm.start_failed", {{"cause", Failure.what()}});
     return ExitFailed;
--- a/scenarios/runner/main.cpp
+++ b/scenarios/runner/main.cpp
@@ -30,15 +30,17 @@
     }
     Path = Template;
   }
-  ~ScratchFolder() {
-    std::error_code Ignored;
-    std::filesystem::remove_all(Path, Ignored);
-  }
+  ~ScratchFolder() { remove(); }
   ScratchFolder(const ScratchFolder &) = delete;
   ScratchFolder &operator=(const ScratchFolder &) = delete;
 
   [[nodiscard]] const std::string &path() const noexcept { return Path; }
 
+  void remove() noexcept {
+    std::error_code Ignored;
+    std::filesystem::remove_all(Path, Ignored);
+  }
+
 private:
   std::string Path;
 };
@@ -66,18 +68,18 @@
     std::cerr << "usage: scenario PRELUDE SCRIPT [SEED]\n";
     return ExitUsage;
   }
-  const ScratchFolder Scratch;
-  bool Good = false;
-  {
-    scenario::Stage Running{Scratch.path()};
-    lua_State *State = luaL_newstate();
-    luaL_openlibs(State);
-    Running.install(State);
-    lua_pushinteger(State, std::atoll(Count > 3 ? Words[3] : DefaultSeed));
-    lua_setglobal(State, "SEED");
-    Good = runFile(State, Words[1]) && runFile(State, Words[2]);
-    lua_close(State);
-  }
+  ScratchFolder Scratch;
+  scenario::Stage Running{Scratch.path()};
+  lua_State *State = luaL_newstate();
+  luaL_openlibs(State);
+  Running.install(State);
+  lua_pushinteger(State, std::atoll(Count > 3 ? Words[3] : DefaultSeed));
+  lua_setglobal(State, "SEED");
+  const bool Good = runFile(State, Words[1]) && runFile(State, Words[2]);
+  lua_close(State);
   std::cout << (Good ? "PASS " : "FAIL ") << Words[2] << std::endl;
-  return Good ? 0 : ExitFailed;
+  // Calls may still be under way; their coroutines end with the process.
+  Running.Processes.clear();
+  Scratch.remove();
+  std::quick_exit(Good ? 0 : ExitFailed);
 }
