--- a/src/goldcrestnotch/rollout/move_book.cpp
+++ b/src/goldcrestnotch/rollout/move_book.cpp
@@ -137,7 +137,6 @@
   MoveState Fresh;
   Fresh.What = Begun.What;
   Fresh.Begun = Time;
-  Fresh.StageSince = Time;
   auto &At = Moves.emplace(Begun.What.Name, Fresh).first->second;
   advance(At);
 }
@@ -185,7 +184,6 @@
       return;
     }
     ++At.Stage;
-    At.StageSince = Time;
     At.StageRequests = 0;
   }
   if (Passed >= internal::DoneAt) {
@@ -234,7 +232,6 @@
   json Result{{"begin", json::parse(encode(RolloutRecord{MoveBegin{At.What}}))},
               {"begun", millis(At.Begun)},
               {"stage", At.Stage},
-              {"since", millis(At.StageSince)},
               {"end", static_cast<int>(At.End)},
               {"ended", millis(At.Ended)},
               {"reason", At.Reason},
@@ -256,7 +253,6 @@
   At.What = std::get<MoveBegin>(decodeRollout(Source.at("begin").dump())).What;
   At.Begun = logTime(Source.at("begun"));
   At.Stage = std::min(Source.at("stage").get<std::uint32_t>(), LastStage);
-  At.StageSince = logTime(Source.at("since"));
   At.End = static_cast<MoveEnd>(Source.at("end").get<int>());
   At.Ended = logTime(Source.at("ended"));
   At.Reason = Source.at("reason").get<std::string>();
--- a/src/goldcrestnotch/rollout/move_book.hpp
+++ b/src/goldcrestnotch/rollout/move_book.hpp
@@ -37,7 +37,6 @@
 struct MoveState {
   Move What;
   LogTime Begun{};
-  LogTime StageSince{};
   std::uint32_t Stage = 0; ///< Index into the stages.
   MoveEnd End = MoveEnd::Open;
   LogTime Ended{};
