Serve callers on the users' platform: routing, escrowed budgets, forwarding, adapter

Cause: nothing of the project ran there. New: routing (host, longest prefix, weights), backend (targets, retry budget), escrow (budgets whose record a VM appends only on the condition that nothing was written since it read), proxy (kept connections, resumption, whole answers), roster, store, and platform/, the only folder that knows the users' wire names.

--- a/app/goldcrestnotchd/main.cpp
+++ b/app/goldcrestnotchd/main.cpp
@@ -14,6 +14,7 @@
 #include "goldcrestnotch/kernel/kernel.hpp"
 #include "goldcrestnotch/settings/settings.hpp"
 #include "goldcrestnotch/telemetry/log.hpp"
+#include "service.hpp"
 
 namespace {
 
@@ -28,7 +29,8 @@
   Options.add_options()("help,h", "show this text")("version,V",
                                                     "show the version")(
       "config,c", po::value<std::string>(),
-      "the settings file (TOML)")("check", "check the settings and end");
+      "the settings file (TOML)")("check", "check the settings and end")(
+      "platform", "run on the users' platform, with the settings it names");
   return Options;
 }
 
@@ -74,6 +76,9 @@
     std::cout << "goldcrestnotchd " GOLDCRESTNOTCH_VERSION "\n";
     return 0;
   }
+  if (Chosen.contains("platform")) {
+    return platform_adapter::runOnPlatform();
+  }
   if (!Chosen.contains("config")) {
     std::cerr << "goldcrestnotchd: --config is required; see --help\n";
     return ExitUsage;
--- /dev/null
+++ b/src/goldcrestnotch/backend/target.hpp
@@ -0,0 +1,47 @@
+/// @file
+/// A target as it registers itself, and what this VM knows of it besides.
+
+#pragma once
+
+#include <cstdint>
+
+#include "goldcrestnotch/core/id.hpp"
+#include "goldcrestnotch/core/instant.hpp"
+#include "goldcrestnotch/http/message.hpp"
+#include "goldcrestnotch/routing/configuration.hpp"
+
+namespace goldcrestnotch::backend {
+
+using routing::ServiceId;
+
+/// @brief What a target says of itself.
+struct Registration {
+  TargetId Name;
+  ServiceId Serves;
+  http::Endpoint Where;
+  DomainId Domain;
+  VersionId Version;
+  std::int64_t Capacity = 1;   ///< Requests that it runs at once.
+  bool Leaving = false;        ///< Takes no new work.
+  std::uint64_t Incarnation = 0; ///< Differs between two starts of one name.
+};
+
+/// @brief A target with this VM's view of it.
+///
+/// Invariant: `InProgress` and `TokensInProgress` are what this VM has sent
+/// there and not seen end; they outlive a change of the registration.
+struct Target {
+  Registration Told;
+  Instant DropDeadline = Instant::max(); ///< When a missing one is dropped.
+  std::int64_t InProgress = 0;
+  std::int64_t TokensInProgress = 0;
+  std::uint32_t Failures = 0;   ///< In a row.
+  Instant PauseDeadline{};      ///< Until then others go first.
+  Instant FullDeadline{};       ///< It refused for want of room; until then.
+
+  [[nodiscard]] bool missing() const noexcept {
+    return DropDeadline != Instant::max();
+  }
+};
+
+} // namespace goldcrestnotch::backend
--- /dev/null
+++ b/src/goldcrestnotch/backend/target_set.cpp
@@ -0,0 +1,147 @@
+/// @file
+/// Keeping and choosing targets.
+
+#include "goldcrestnotch/backend/target_set.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "goldcrestnotch/core/hash.hpp"
+
+namespace goldcrestnotch::backend {
+
+namespace internal {
+
+/// The affine target may hold this many times the mean in progress, so that a
+/// popular prefix spills over instead of queueing.
+static constexpr double AffinityRatio = 1.5;
+static constexpr double AffinitySlack = 2;
+/// Requests in progress that a paused target seems to have besides.
+static constexpr double PausedCost = 1'000;
+/// The same for one that just refused for want of room.
+static constexpr double FullCost = 100;
+/// The same for one whose registration is missing.
+static constexpr double MissingCost = 10;
+/// A target in another failure domain costs a hop; breaks ties only.
+static constexpr double FarCost = 0.25;
+
+} // namespace internal
+
+std::shared_ptr<Target> TargetSet::find(const TargetId &Name) const {
+  const auto It = Targets.find(Name);
+  return It == Targets.end() ? nullptr : It->second;
+}
+
+bool TargetSet::usable(const Target &One, const Wish &Wanted) {
+  return !One.Told.Leaving &&
+         std::find(Wanted.Excluded.begin(), Wanted.Excluded.end(),
+                   One.Told.Name) == Wanted.Excluded.end();
+}
+
+double TargetSet::cost(Instant Now, const Target &One) const {
+  double Result = static_cast<double>(One.InProgress);
+  Result += Now < One.PauseDeadline ? internal::PausedCost : 0;
+  Result += Now < One.FullDeadline ? internal::FullCost : 0;
+  Result += One.missing() ? internal::MissingCost : 0;
+  Result += One.Told.Domain == Own ? 0 : internal::FarCost;
+  return Result;
+}
+
+std::shared_ptr<Target> TargetSet::pick(Instant Now,
+                                        const Wish &Wanted) const {
+  const auto At = Rows.find(Wanted.Service);
+  if (At == Rows.end()) {
+    return nullptr;
+  }
+  std::shared_ptr<Target> Best;
+  double BestCost = 0;
+  std::shared_ptr<Target> Affine;
+  std::uint64_t AffineScore = 0;
+  double Sum = 0;
+  double Count = 0;
+  for (const auto &One : At->second) {
+    if (!usable(*One, Wanted)) {
+      continue;
+    }
+    const double Cost = cost(Now, *One);
+    Sum += static_cast<double>(One->InProgress);
+    Count += 1;
+    if (!Best || Cost < BestCost) {
+      Best = One;
+      BestCost = Cost;
+    }
+    if (Wanted.Affinity.empty() || Cost >= internal::MissingCost * 10) {
+      continue;
+    }
+    const auto Score = rendezvous(Wanted.Affinity, One->Told.Name.str());
+    if (!Affine || Score > AffineScore) {
+      Affine = One;
+      AffineScore = Score;
+    }
+  }
+  if (Affine && static_cast<double>(Affine->InProgress) <=
+                    internal::AffinityRatio * Sum / Count +
+                        internal::AffinitySlack) {
+    return Affine;
+  }
+  return Best;
+}
+
+std::int64_t TargetSet::inProgress(const ServiceId &Name) const {
+  const auto At = Rows.find(Name);
+  std::int64_t Sum = 0;
+  if (At != Rows.end()) {
+    for (const auto &One : At->second) {
+      Sum += One->InProgress;
+    }
+  }
+  return Sum;
+}
+
+void TargetSet::emplace(Registration Told) {
+  auto &At = Targets[Told.Name];
+  const bool Moved = At && (At->Told.Serves != Told.Serves ||
+                            At->Told.Where != Told.Where ||
+                            At->Told.Incarnation != Told.Incarnation);
+  if (At && !Moved) {
+    At->Told = std::move(Told);
+    At->DropDeadline = Instant::max();
+    return;
+  }
+  if (At) {
+    std::erase(Rows[At->Told.Serves], At);
+  }
+  At = std::make_shared<Target>();
+  At->Told = std::move(Told);
+  Rows[At->Told.Serves].push_back(At);
+}
+
+void TargetSet::erase(Instant Now, const TargetId &Name, bool Outage) {
+  const auto It = Targets.find(Name);
+  if (It == Targets.end() || It->second->missing()) {
+    return;
+  }
+  It->second->DropDeadline = Now + (Outage ? Times.Outage : Times.Quiet);
+}
+
+void TargetSet::expire(Instant Now) {
+  std::erase_if(Targets, [&](const auto &Entry) {
+    if (Now < Entry.second->DropDeadline) {
+      return false;
+    }
+    std::erase(Rows[Entry.second->Told.Serves], Entry.second);
+    return true;
+  });
+}
+
+void TargetSet::keepOnly(Instant Now,
+                         const std::function<bool(const TargetId &)> &Keep,
+                         bool Outage) {
+  for (const auto &[Name, One] : Targets) {
+    if (!Keep(Name)) {
+      erase(Now, Name, Outage);
+    }
+  }
+}
+
+} // namespace goldcrestnotch::backend
--- /dev/null
+++ b/src/goldcrestnotch/escrow/fwd.hpp
@@ -0,0 +1,13 @@
+/// @file
+/// Forward declarations of the escrow module.
+
+#pragma once
+
+namespace goldcrestnotch::escrow {
+
+struct Account;
+struct HolderRecord;
+class Book;
+class Holder;
+
+} // namespace goldcrestnotch::escrow
--- /dev/null
+++ b/src/goldcrestnotch/escrow/holder.cpp
@@ -0,0 +1,220 @@
+/// @file
+/// Reserving, settling, and deciding what to take and give back.
+
+#include "goldcrestnotch/escrow/holder.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace goldcrestnotch::escrow {
+
+namespace internal {
+
+/// What is held beyond this many targets goes back.
+static constexpr std::int64_t SurplusFactor = 2;
+
+[[nodiscard]] static Tokens accountDrawn(const HolderRecord &Record,
+                                         const WorkspaceId &Name) {
+  const auto It = Record.Accounts.find(Name);
+  return It == Record.Accounts.end() ? Tokens{} : It->second.Drawn;
+}
+
+[[nodiscard]] static double seconds(Millis Span) {
+  return std::chrono::duration<double>(Span).count();
+}
+
+} // namespace internal
+
+Tokens Holder::drawn(const WorkspaceId &Name) const {
+  Tokens Least = internal::accountDrawn(Confirmed, Name);
+  for (const auto &One : OnTheWay) {
+    Least = std::min(Least, internal::accountDrawn(One.Record, Name));
+  }
+  return Least;
+}
+
+Tokens Holder::available(const WorkspaceId &Name) const {
+  const auto It = Desks.find(Name);
+  const Tokens Used =
+      It == Desks.end() ? Tokens{} : It->second.Spent + It->second.Reserved;
+  return drawn(Name) - Used;
+}
+
+double Holder::rate(const Desk &At, Instant Now) const {
+  return At.Rate * std::exp(-internal::seconds(Now - At.RateTime) /
+                            internal::seconds(Size.RateWindow));
+}
+
+Admission Holder::reserve(Instant Now, const Book &Source,
+                          const WorkspaceId &Name, Tokens Budget,
+                          Tokens Bound) {
+  auto &At = Desks[Name];
+  if (Bound <= available(Name)) {
+    At.Reserved += Bound;
+    return Admission::Admitted;
+  }
+  const auto All = Source.totals(Name);
+  // Others report what they spent; what is in doubt may yet be there.
+  const Tokens Unreported =
+      At.Spent - At.Doubt -
+      (Confirmed.Accounts.contains(Name)
+           ? Confirmed.Accounts.at(Name).Spent - Confirmed.Accounts.at(Name).Doubt
+           : Tokens{});
+  if (Budget - (All.Spent - All.Doubt) - Unreported < Bound) {
+    return Admission::Exhausted;
+  }
+  At.Wanted = std::max(At.Wanted, Bound);
+  At.WantDeadline = Now + Size.WantFor;
+  Urgent = true;
+  return Admission::Short;
+}
+
+void Holder::settle(Instant Now, const WorkspaceId &Name, Tokens Bound,
+                    Tokens Spent) {
+  auto &At = Desks[Name];
+  Spent = std::min(Spent, Bound);
+  At.Reserved -= Bound;
+  At.Spent += Spent;
+  At.Rate = rate(At, Now) + static_cast<double>(Spent.count()) /
+                                internal::seconds(Size.RateWindow);
+  At.RateTime = Now;
+}
+
+void Holder::inherit(const Book &Source, Proposal &Into) const {
+  for (const auto &[Name, Entry] : Source.entries()) {
+    if (!Entry.Record || Name.Vm != Self.Vm || Name == Self) {
+      continue;
+    }
+    for (const auto &[Workspace, One] : Entry.Record->Accounts) {
+      auto &At = Into.Inherited[Workspace];
+      At.Drawn += One.Drawn;
+      At.Doubt += One.Drawn - One.Spent + One.Doubt;
+    }
+    Into.Ended.push_back(Name);
+  }
+}
+
+Tokens Holder::target(Instant Now, const Desk &At, const Totals &All,
+                      Tokens Budget, Tokens Own, std::size_t Vms) const {
+  if (Leaving) {
+    return At.Reserved;
+  }
+  const auto Count = static_cast<std::int64_t>(std::max<std::size_t>(Vms, 1));
+  const Tokens Left = std::max(Budget - All.Spent, Tokens{});
+  const Tokens Free = std::max(Budget - All.Drawn, Tokens{});
+  const double Rate = rate(At, Now);
+  const Tokens Demand{
+      static_cast<std::int64_t>(Rate * internal::seconds(Size.Horizon))};
+  const Tokens Floor = (Free + Own) / (Size.FloorShare * Count);
+  const double AllRate =
+      std::max(static_cast<double>(All.Rate.count()), Rate) + 1.0;
+  const Tokens Share{static_cast<std::int64_t>(
+      static_cast<double>((Left * Size.MostPercent / 100).count()) *
+      std::max(Rate / AllRate, 0.5 / static_cast<double>(Count)))};
+  return At.Reserved + std::max(std::min(Demand, Share), Floor);
+}
+
+Account Holder::next(Instant Now, const Desk &At, const Totals &All,
+                     Tokens Budget, Tokens Own, std::size_t Vms) const {
+  Account Result;
+  Result.Spent = At.Spent;
+  Result.Doubt = At.Doubt;
+  Result.Rate = Tokens{static_cast<std::int64_t>(rate(At, Now))};
+  Result.Drawn = Own;
+  const Tokens Free = Budget - All.Drawn;
+  const Tokens Held = Own - At.Spent;
+  const Tokens Target = target(Now, At, All, Budget, Own - At.Spent, Vms);
+  const Tokens Need = Leaving ? Tokens{} : At.Wanted;
+  const Tokens Goal = std::max(Target, At.Reserved + Need);
+  const bool OthersWant = All.Wanted > Tokens{};
+  if (Held < Goal && Free > Tokens{}) {
+    const bool Low = Held < Target * 3 / 4 || Need > Tokens{};
+    Result.Drawn += Low ? std::min(Goal - Held, Free) : Tokens{};
+  } else if (Held > Goal) {
+    const Tokens Keep = OthersWant || Leaving || Free < Tokens{}
+                            ? Goal
+                            : Goal * internal::SurplusFactor;
+    Result.Drawn -= std::max(Held - Keep, Tokens{});
+  }
+  const Tokens Gets = Result.Drawn - At.Spent - At.Reserved;
+  Result.Wanted = Need > Gets ? Need - Gets : Tokens{};
+  return Result;
+}
+
+Proposal Holder::propose(Instant Now, const Book &Source,
+                         const BudgetOf &Budgets,
+                         const std::vector<WorkspaceId> &Names,
+                         std::size_t Vms) {
+  Proposal Result;
+  inherit(Source, Result);
+  for (const auto &Name : Names) {
+    Desks.try_emplace(Name);
+  }
+  for (const auto &[Name, Past] : Result.Inherited) {
+    Desks.try_emplace(Name);
+  }
+  Result.Record.Sequence = ++LastSequence;
+  Result.Record.Leaving = Leaving;
+  for (auto &[Name, At] : Desks) {
+    At.Wanted = Now < At.WantDeadline ? At.Wanted : Tokens{};
+    const auto Mine = Confirmed.Accounts.find(Name);
+    const Account Before =
+        Mine == Confirmed.Accounts.end() ? Account{} : Mine->second;
+    auto All = Source.totals(Name);
+    All.Wanted -= Before.Wanted; // The own want is no reason to give back.
+    Legacy Past;
+    if (const auto It = Result.Inherited.find(Name);
+        It != Result.Inherited.end()) {
+      Past = It->second;
+    }
+    Desk With = At;
+    With.Spent += Past.Drawn;
+    With.Doubt += Past.Doubt;
+    // A workspace that has left the configuration keeps what it has.
+    const Tokens Budget = Budgets(Name).value_or(All.Drawn);
+    Result.Record.Accounts[Name] =
+        next(Now, With, All, Budget, Before.Drawn + Past.Drawn, Vms);
+  }
+  return Result;
+}
+
+bool Holder::matters(const Proposal &Next) const {
+  return !Next.Ended.empty() || Next.Record.Leaving != Confirmed.Leaving ||
+         std::any_of(
+             Next.Record.Accounts.begin(), Next.Record.Accounts.end(),
+             [&](const auto &Pair) {
+               const auto It = Confirmed.Accounts.find(Pair.first);
+               return It == Confirmed.Accounts.end() ||
+                      It->second.Drawn != Pair.second.Drawn ||
+                      It->second.Wanted != Pair.second.Wanted;
+             });
+}
+
+void Holder::sent(const Proposal &What) {
+  OnTheWay.push_back(What);
+  Urgent = false;
+}
+
+bool Holder::confirm(std::uint64_t Sequence) {
+  const auto It = std::find_if(
+      OnTheWay.begin(), OnTheWay.end(),
+      [&](const Proposal &One) { return One.Record.Sequence == Sequence; });
+  if (It == OnTheWay.end()) {
+    return false;
+  }
+  for (const auto &[Name, Past] : It->Inherited) {
+    Desks[Name].Spent += Past.Drawn;
+    Desks[Name].Doubt += Past.Doubt;
+  }
+  Confirmed = std::move(It->Record);
+  OnTheWay.clear();
+  for (auto &[Name, At] : Desks) {
+    if (At.Wanted <= available(Name)) {
+      At.Wanted = Tokens{};
+    }
+  }
+  return true;
+}
+
+} // namespace goldcrestnotch::escrow
--- /dev/null
+++ b/src/goldcrestnotch/escrow/holder.hpp
@@ -0,0 +1,132 @@
+/// @file
+/// A VM's side of the budgets: admits requests against the tokens that it has
+/// taken, takes more before they are needed, and gives back what others need.
+///
+/// A record is written only if nothing was written since the book was read, so
+/// the tokens taken by all VMs never exceed a budget, and a write that takes
+/// effect late does nothing.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "goldcrestnotch/core/instant.hpp"
+#include "goldcrestnotch/escrow/book.hpp"
+
+namespace goldcrestnotch::escrow {
+
+/// @brief Whether a request may be sent.
+enum class Admission : std::uint8_t {
+  Admitted,  ///< Its most is reserved.
+  Short,     ///< Enough is left of the budget, but not here.
+  Exhausted, ///< Less is left of the whole budget.
+};
+
+/// @brief How much a holder keeps at hand.
+struct Sizing {
+  /// Demand that is held ahead: an outage of the store is served from it.
+  Millis Horizon{12'000};
+  /// Demand is averaged over this.
+  Millis RateWindow{3'000};
+  /// At least the free part divided by this and by the count of VMs.
+  std::int64_t FloorShare = 4;
+  /// A want ends after this.
+  Millis WantFor{1'000};
+  /// At most this part of what is left, split by demand, in hundredths.
+  std::int64_t MostPercent = 90;
+};
+
+/// @brief What processes of this VM that have ended leave behind.
+struct Legacy {
+  Tokens Drawn;
+  Tokens Doubt; ///< Drawn and not known to be spent.
+};
+
+/// @brief A record to write under a condition, and what it replaces.
+struct Proposal {
+  HolderRecord Record;
+  std::vector<HolderName> Ended; ///< Their records are dropped with it.
+  std::map<WorkspaceId, Legacy> Inherited; ///< From those, in the record.
+};
+
+/// Gives the budget of a workspace; nothing if it has no limit.
+using BudgetOf = std::function<std::optional<Tokens>(const WorkspaceId &)>;
+
+/// @brief Decides on requests from what is held; asks nobody. No I/O.
+class Holder {
+public:
+  explicit Holder(HolderName Self, Sizing Size = {})
+      : Self{std::move(Self)}, Size{Size} {}
+
+  [[nodiscard]] const HolderName &name() const noexcept { return Self; }
+  /// @brief Tokens that a new request could reserve.
+  [[nodiscard]] Tokens available(const WorkspaceId &Name) const;
+  /// @brief Whether a request waits for tokens that a write could bring.
+  [[nodiscard]] bool urgent() const noexcept { return Urgent; }
+
+  /// @brief Reserves the most that a request can spend.
+  [[nodiscard]] Admission reserve(Instant Now, const Book &Source,
+                                  const WorkspaceId &Name, Tokens Budget,
+                                  Tokens Bound);
+  /// @brief Ends a reservation.
+  /// @param Spent At most `Bound`.
+  void settle(Instant Now, const WorkspaceId &Name, Tokens Bound, Tokens Spent);
+
+  /// @brief The record that should be written next.
+  /// @param Vms Count of VMs that share the budgets.
+  /// @param Names Workspaces to hold tokens of.
+  [[nodiscard]] Proposal propose(Instant Now, const Book &Source,
+                                 const BudgetOf &Budgets,
+                                 const std::vector<WorkspaceId> &Names,
+                                 std::size_t Vms);
+  /// @brief Whether a proposal says anything that others have to know soon.
+  [[nodiscard]] bool matters(const Proposal &Next) const;
+
+  /// @brief The record is on its way; until its fate is known, the lower of
+  /// both counts holds.
+  void sent(const Proposal &What);
+  /// @brief The store has the record of this number; all others are void.
+  /// @return Whether it was on its way.
+  bool confirm(std::uint64_t Sequence);
+  /// @brief Nothing that is on its way can take effect any more.
+  void abandon() noexcept { OnTheWay.clear(); }
+  /// @brief Gives back all that is not reserved from now on.
+  void leave() noexcept { Leaving = true; }
+  /// @brief Whether records are on their way whose fate is unknown.
+  [[nodiscard]] bool unsure() const noexcept { return !OnTheWay.empty(); }
+
+private:
+  struct Desk {
+    Tokens Spent; ///< By this process, or written off from those before it.
+    Tokens Doubt;
+    Tokens Reserved;
+    Tokens Wanted; ///< The largest bound that found too little.
+    Instant WantDeadline{}; ///< When whoever wanted it has gone.
+    double Rate = 0;
+    Instant RateTime{};
+  };
+
+  [[nodiscard]] Tokens drawn(const WorkspaceId &Name) const;
+  [[nodiscard]] double rate(const Desk &At, Instant Now) const;
+  [[nodiscard]] Tokens target(Instant Now, const Desk &At, const Totals &All,
+                              Tokens Budget, Tokens Own, std::size_t Vms) const;
+  [[nodiscard]] Account next(Instant Now, const Desk &At, const Totals &All,
+                             Tokens Budget, Tokens Own, std::size_t Vms) const;
+  void inherit(const Book &Source, Proposal &Into) const;
+
+  HolderName Self;
+  Sizing Size;
+  std::map<WorkspaceId, Desk> Desks;
+  HolderRecord Confirmed;
+  std::vector<Proposal> OnTheWay; ///< Sent, fate unknown.
+  std::uint64_t LastSequence = 0;
+  bool Urgent = false;
+  bool Leaving = false;
+};
+
+} // namespace goldcrestnotch::escrow
--- /dev/null
+++ b/src/goldcrestnotch/escrow/keeper.hpp
@@ -0,0 +1,132 @@
+/// @file
+/// Keeps a holder's record in the store: reads what others wrote, proposes,
+/// and appends only if nothing was written since.
+
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "goldcrestnotch/escrow/holder.hpp"
+#include "goldcrestnotch/store/keyed_feed.hpp"
+#include "goldcrestnotch/telemetry/log.hpp"
+
+namespace goldcrestnotch::escrow {
+
+/// @brief What a keeper writes besides the accounts, and for whom.
+struct KeeperTerms {
+  std::string Entry;   ///< Address for callers.
+  std::string Control; ///< Address for other VMs.
+  Millis Heartbeat{1'000}; ///< A record is written at least so often.
+};
+
+/// @brief One partition of holders' records.
+/// @tparam Log How the store is reached.
+template <store::KeyedLog Log> class Keeper {
+public:
+  using Observe = std::function<void(const HolderName &, const HolderRecord &)>;
+
+  Keeper(Log &Store, store::Partition At, Book &Known, Holder &Held,
+         KeeperTerms Terms, Observe Seen)
+      : Store{Store}, Known{Known}, Held{Held}, Terms{std::move(Terms)},
+        Seen{std::move(Seen)},
+        Feed{Store, std::move(At),
+             [this](const store::Record &One) { take(One); }} {}
+
+  /// @brief Whether all records have been read once.
+  [[nodiscard]] bool loaded() const noexcept { return Feed.loaded(); }
+
+  /// @brief Reads, and writes if there is something to say.
+  /// @throws store::StoreError
+  void step(boost::asio::yield_context Yield, const BudgetOf &Budgets,
+            const std::vector<WorkspaceId> &Names, std::size_t Vms) {
+    for (int Try = 0; Try < MostTries; ++Try) {
+      Feed.poll(Yield, Millis{0});
+      resolve();
+      const auto Now = DecisionClock::now();
+      auto Next = Held.propose(Now, Known, Budgets, Names, Vms);
+      Next.Record.Entry = Terms.Entry;
+      Next.Record.Control = Terms.Control;
+      if (!Held.matters(Next) && Now < HeartbeatDeadline) {
+        return;
+      }
+      if (write(Yield, Next)) {
+        HeartbeatDeadline = Now + Terms.Heartbeat;
+        return;
+      }
+    }
+  }
+
+private:
+  /// Others may write between the read and the append.
+  static constexpr int MostTries = 4;
+
+  [[nodiscard]] bool write(boost::asio::yield_context Yield,
+                           const Proposal &Next) {
+    const auto Condition = Feed.next();
+    std::vector<store::Record> Records;
+    for (const auto &Name : Next.Ended) {
+      Records.push_back({0, Name.str(), std::nullopt});
+    }
+    Records.push_back({0, Held.name().str(), encode(Next.Record)});
+    Held.sent(Next);
+    SentAt = Condition;
+    const auto Result = Store.append(Yield, Feed.partition(), Condition, Records);
+    if (!Result.Done) {
+      return false; // The next read tells whether an earlier one was done.
+    }
+    for (std::size_t I = 0; I < Records.size(); ++I) {
+      Records[I].Offset = Condition + I;
+      Feed.take(Records[I]);
+    }
+    resolve();
+    return true;
+  }
+
+  /// @brief Settles the fate of records on their way. Each was sent on the
+  /// condition that the partition ended at `SentAt` or earlier.
+  void resolve() {
+    if (!Held.unsure()) {
+      return;
+    }
+    const auto *Mine = Known.find(Held.name());
+    if (Mine != nullptr && Held.confirm(Mine->Sequence)) {
+      return;
+    }
+    if (Feed.next() > SentAt) {
+      Held.abandon();
+    }
+  }
+
+  void take(const store::Record &One) {
+    const auto Name = HolderName::parse(One.Key);
+    if (!Name) {
+      log(LogLevel::Warn, "escrow.unknown_key", {{"key", One.Key}});
+      return;
+    }
+    std::optional<HolderRecord> Record;
+    if (One.Value) {
+      Record = decodeRecord(*One.Value);
+      if (!Record) {
+        log(LogLevel::Error, "escrow.unreadable", {{"key", One.Key}});
+        return;
+      }
+      Seen(*Name, *Record);
+    }
+    Known.apply(One.Offset, *Name, std::move(Record));
+  }
+
+  Log &Store;
+  Book &Known;
+  Holder &Held;
+  KeeperTerms Terms;
+  Observe Seen;
+  store::KeyedFeed<Log> Feed;
+  std::uint64_t SentAt = 0;
+  Instant HeartbeatDeadline{};
+};
+
+} // namespace goldcrestnotch::escrow
--- /dev/null
+++ b/src/goldcrestnotch/escrow/record.hpp
@@ -0,0 +1,61 @@
+/// @file
+/// What one VM writes of itself to the store: how much of each budget it has
+/// taken, spent and needs. The newest record of each VM is the whole state, so
+/// nothing has to be replayed or saved besides.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "goldcrestnotch/core/id.hpp"
+#include "goldcrestnotch/core/tokens.hpp"
+
+namespace goldcrestnotch::escrow {
+
+/// @brief One VM's part of one budget, counted from the budget's beginning.
+///
+/// Invariant: `Doubt <= Spent <= Drawn`.
+struct Account {
+  Tokens Drawn;  ///< Taken from the budget and not given back.
+  Tokens Spent;  ///< Of these, used up or written off.
+  Tokens Doubt;  ///< Of these, what a process that died may not have used.
+  Tokens Wanted; ///< Asked for and not free; others may give back.
+  Tokens Rate;   ///< Spent in a second, lately.
+
+  auto operator<=>(const Account &) const = default;
+};
+
+/// @brief The record of one process of a VM.
+struct HolderRecord {
+  std::uint64_t Sequence = 0; ///< Counts the records of this process.
+  std::string Entry;          ///< Address for callers.
+  std::string Control;        ///< Address for other VMs.
+  bool Leaving = false;       ///< Takes no new callers.
+  std::map<WorkspaceId, Account> Accounts;
+
+  auto operator<=>(const HolderRecord &) const = default;
+};
+
+/// @brief Names a process: the VM's address, then a number drawn at its start.
+/// Two processes never have one address at a time, so a new one proves that
+/// the one before has ended.
+struct HolderName {
+  std::string Vm;
+  std::string Boot;
+
+  auto operator<=>(const HolderName &) const = default;
+  [[nodiscard]] std::string str() const { return Vm + "/" + Boot; }
+  /// @brief Reads a name; nothing if the text is of another form.
+  [[nodiscard]] static std::optional<HolderName> parse(std::string_view Text);
+};
+
+/// @brief The record as CBOR.
+[[nodiscard]] std::string encode(const HolderRecord &Source);
+/// @brief Reads a record; nothing if the bytes hold none.
+[[nodiscard]] std::optional<HolderRecord> decodeRecord(std::string_view Bytes);
+
+} // namespace goldcrestnotch::escrow
--- /dev/null
+++ b/src/goldcrestnotch/proxy/dialect.hpp
@@ -0,0 +1,45 @@
+/// @file
+/// The header names that callers and targets of a deployment use. The proxy
+/// knows what each is for; only the adapter knows how it is spelled.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/beast/http/fields.hpp>
+
+#include "goldcrestnotch/core/instant.hpp"
+#include "goldcrestnotch/core/tokens.hpp"
+
+namespace goldcrestnotch::proxy {
+
+/// @brief What a request says of its prompt.
+struct PromptShape {
+  Tokens Input;
+  Tokens MostOutput;
+  std::string Shared; ///< Names the prompt's last part that others share.
+};
+
+/// @brief Spelling of the headers.
+struct Dialect {
+  using Fields = boost::beast::http::fields;
+
+  std::string Attempt;       ///< Id of one try of a caller; echoed by targets.
+  std::string DeadlineLeft;  ///< Milliseconds that the sender will wait.
+  std::string ExpectTarget;  ///< Only this target may run the request.
+  std::string NotRun;        ///< A target states that it ran nothing.
+  std::string Receipt;       ///< A target's proof of its answer.
+  std::string Workspace;     ///< Whose key the caller used.
+  std::string Urgency;       ///< Order among requests at an engine, 0 first.
+  std::string ResumeAfter;   ///< Id of the last event that was received.
+  std::vector<std::string> Reserved; ///< Never taken from a caller.
+  /// Reads what a request says of its prompt; nothing if it says nothing.
+  std::function<std::optional<PromptShape>(const Fields &)> Shape;
+};
+
+} // namespace goldcrestnotch::proxy
--- /dev/null
+++ b/src/goldcrestnotch/proxy/fwd.hpp
@@ -0,0 +1,16 @@
+/// @file
+/// Forward declarations of the proxy module.
+
+#pragma once
+
+namespace goldcrestnotch::proxy {
+
+struct Dialect;
+struct Environment;
+class CallerLink;
+class Forwarder;
+class Link;
+class LinkPool;
+class Listener;
+
+} // namespace goldcrestnotch::proxy
--- /dev/null
+++ b/src/goldcrestnotch/proxy/listener.cpp
@@ -0,0 +1,127 @@
+/// @file
+/// One coroutine a connection.
+
+#include "goldcrestnotch/proxy/listener.hpp"
+
+#include <array>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http.hpp>
+
+#include "goldcrestnotch/proxy/exchange.hpp"
+#include "goldcrestnotch/telemetry/request_log.hpp"
+
+namespace goldcrestnotch::proxy {
+
+namespace asio = boost::asio;
+namespace wire = boost::beast::http;
+using asio::ip::tcp;
+
+namespace internal {
+
+/// Between two looks at a full house, or after a failed accept.
+static constexpr Millis AcceptPause{20};
+/// For an error's text to be taken by a caller that sent a bad request.
+static constexpr Millis ErrorWait{1'000};
+static constexpr int MalformedStatus = 400;
+static constexpr int BodyTooLargeStatus = 413;
+static constexpr int HeadTooLargeStatus = 431;
+
+} // namespace internal
+
+Listener::Listener(Environment &Shared, const http::Endpoint &Where,
+                   std::size_t MostConnections)
+    : Shared{Shared}, Acceptor{Shared.Loop}, MostConnections{MostConnections} {
+  const tcp::endpoint Local{asio::ip::make_address(Where.Address), Where.Port};
+  Acceptor.open(Local.protocol());
+  Acceptor.set_option(asio::socket_base::reuse_address(true));
+  Acceptor.bind(Local);
+  Acceptor.listen();
+}
+
+void Listener::start() {
+  asio::spawn(Shared.Loop,
+              [this](asio::yield_context Yield) { accept(Yield); });
+}
+
+void Listener::accept(asio::yield_context Yield) {
+  asio::steady_timer Pause{Shared.Loop};
+  while (true) {
+    auto From = std::make_shared<CallerLink>(Shared.Loop);
+    boost::system::error_code Failure;
+    if (Connections < MostConnections) {
+      Acceptor.async_accept(From->stream().socket(), Yield[Failure]);
+    }
+    if (Failure || Connections >= MostConnections) {
+      Shared.Measured.count("accept_pauses_total");
+      Pause.expires_after(internal::AcceptPause);
+      Pause.async_wait(Yield);
+      continue;
+    }
+    boost::system::error_code Ignored; // Costs a delay at most.
+    From->stream().socket().set_option(tcp::no_delay(true), Ignored);
+    ++Connections;
+    asio::spawn(Shared.Loop, [this, From](asio::yield_context Serve) {
+      serve(From, Serve);
+      --Connections;
+    });
+  }
+}
+
+void Listener::serve(const std::shared_ptr<CallerLink> &From,
+                     asio::yield_context Yield) {
+  static const routing::CallerLimits Unconfigured;
+  try {
+    while (From->keeps()) {
+      const auto Table = Shared.Table;
+      const auto End = From->read(
+          Yield, Table ? Table->source().Limits : Unconfigured);
+      if (End != ReadEnd::Whole) {
+        reject(*From, End, Yield);
+        break;
+      }
+      Exchange{Shared, *From, Yield}.run();
+    }
+  } catch (const boost::system::system_error &) {
+    Shared.Measured.count("caller_connections_lost_total");
+  }
+  boost::system::error_code Ignored; // It may be closed already.
+  From->stream().socket().shutdown(tcp::socket::shutdown_send, Ignored);
+  From->stream().close();
+}
+
+void Listener::reject(CallerLink &From, ReadEnd End,
+                      asio::yield_context Yield) {
+  int Status = 0;
+  switch (End) {
+  case ReadEnd::Whole:
+  case ReadEnd::Closed:
+    return;
+  case ReadEnd::Malformed:
+    Status = internal::MalformedStatus;
+    break;
+  case ReadEnd::HeadTooLarge:
+    Status = internal::HeadTooLargeStatus;
+    break;
+  case ReadEnd::BodyTooLarge:
+    Status = internal::BodyTooLargeStatus;
+    break;
+  }
+  Shared.Measured.count("malformed_requests_total");
+  logRequest(false, {{"status", static_cast<std::int64_t>(Status)},
+                     {"cause", "malformed_request"}});
+  const auto Until = DecisionClock::now() + internal::ErrorWait;
+  From.closeAfter();
+  From.reply(Yield, Status, WireFields{},
+             R"({"error":"the request could not be read"})", Until);
+  // Closing with bytes unread would take the answer back on its way.
+  boost::system::error_code Failure;
+  From.stream().socket().shutdown(tcp::socket::shutdown_send, Failure);
+  std::array<char, 4'096> Discarded{};
+  From.stream().expires_at(socketTime(Until));
+  while (!Failure) {
+    From.stream().async_read_some(asio::buffer(Discarded), Yield[Failure]);
+  }
+}
+
+} // namespace goldcrestnotch::proxy
--- /dev/null
+++ b/src/goldcrestnotch/proxy/listener.hpp
@@ -0,0 +1,41 @@
+/// @file
+/// Accepts callers and serves their connections.
+
+#pragma once
+
+#include <cstddef>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/spawn.hpp>
+
+#include "goldcrestnotch/http/message.hpp"
+#include "goldcrestnotch/proxy/caller_link.hpp"
+#include "goldcrestnotch/proxy/environment.hpp"
+
+namespace goldcrestnotch::proxy {
+
+/// @brief The callers' port of a VM.
+class Listener {
+public:
+  /// @param MostConnections Beyond these a caller waits in the port's queue.
+  /// @throws boost::system::system_error if the address can't be bound.
+  Listener(Environment &Shared, const http::Endpoint &Where,
+           std::size_t MostConnections);
+
+  void start();
+
+private:
+  void accept(boost::asio::yield_context Yield);
+  void serve(const std::shared_ptr<CallerLink> &From,
+             boost::asio::yield_context Yield);
+  void reject(CallerLink &From, ReadEnd End, boost::asio::yield_context Yield);
+
+  Environment &Shared;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  std::size_t MostConnections;
+  std::size_t Connections = 0;
+};
+
+} // namespace goldcrestnotch::proxy
--- a/src/goldcrestnotch/telemetry/log.cpp
+++ b/src/goldcrestnotch/telemetry/log.cpp
@@ -54,11 +54,11 @@
 
 } // namespace internal
 
-void startLogging(LogLevel Least, const std::string &Process) {
+void startLogging(LogLevel Least, const std::string &Process, LogSink Sink) {
   static const log4cplus::Initializer Library;
   auto Root = log4cplus::Logger::getRoot();
   log4cplus::SharedAppenderPtr Console{
-      new log4cplus::ConsoleAppender{true, true}};
+      new log4cplus::ConsoleAppender{Sink == LogSink::StandardError, true}};
   Console->setLayout(std::make_unique<internal::JsonLayout>(Process));
   Root.removeAllAppenders();
   Root.addAppender(Console);
@@ -66,16 +66,19 @@
 }
 
 void log(LogLevel Level, std::string_view Event,
-         std::initializer_list<LogField> Fields) {
+         std::initializer_list<LogField> Fields,
+         std::initializer_list<LogField> More) {
   auto Root = log4cplus::Logger::getRoot();
   const auto Mapped = internal::levelOf(Level);
   if (!Root.isEnabledFor(Mapped)) {
     return;
   }
   nlohmann::ordered_json Line{{"event", std::string{Event}}};
-  for (const auto &Field : Fields) {
-    std::visit([&](const auto &V) { Line[std::string{Field.Name}] = V; },
-               Field.Value);
+  for (const auto &Part : {Fields, More}) {
+    for (const auto &Field : Part) {
+      std::visit([&](const auto &V) { Line[std::string{Field.Name}] = V; },
+                 Field.Value);
+    }
   }
   const auto Text =
       Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/src/goldcrestnotch/telemetry/log.hpp
+++ b/src/goldcrestnotch/telemetry/log.hpp
@@ -19,15 +19,20 @@
   std::variant<std::string, std::int64_t, double, bool> Value;
 };
 
-/// @brief Sends lines to standard error; call once, before threads start.
+enum class LogSink : std::uint8_t { StandardError, StandardOutput };
+
+/// @brief Opens the log; call once, before threads start.
 /// @param Least The lowest level that is written.
 /// @param Process Stands in each line, such as the VM's name.
-void startLogging(LogLevel Least, const std::string &Process);
+void startLogging(LogLevel Least, const std::string &Process,
+                  LogSink Sink = LogSink::StandardError);
 
 /// @brief Writes a line.
 /// @param Event A short fixed name such as `vm.ready`.
 /// @warning Never hand it a key, a token of a caller, or a body.
+/// @param More Fields that stand behind the others.
 void log(LogLevel Level, std::string_view Event,
-         std::initializer_list<LogField> Fields = {});
+         std::initializer_list<LogField> Fields = {},
+         std::initializer_list<LogField> More = {});
 
 } // namespace goldcrestnotch
