Hold nine seconds of demand, lend between VMs, drop removed targets in time

After the final power loss each dead VM's whole grant is in doubt, and grants were 12 s of demand with twice that kept before any went back, plus a quarter of the free part as floor.

--- a/src/goldcrestnotch/backend/target_set.hpp
+++ b/src/goldcrestnotch/backend/target_set.hpp
@@ -20,16 +20,17 @@
   /// After a removal in quiet times: targets leave without a word, too.
   Millis Quiet{600};
   /// After a removal close to an outage of the registry, which forgets targets
-  /// that live; they register again within two seconds.
-  Millis Outage{2'600};
+  /// that live; they register again within two seconds. Never longer than a
+  /// leaving target goes on serving, less the time to learn of the removal.
+  Millis Outage{1'500};
 };
 
 /// @brief What a request wants of a target.
 struct Wish {
   ServiceId Service;
-  std::string_view Affinity;               ///< Empty for none.
-  std::vector<TargetId> Excluded;          ///< Were tried before.
-  std::int64_t Size = 0;                   ///< Tokens at most, or zero.
+  std::string_view Affinity;      ///< Empty for none.
+  std::vector<TargetId> Excluded; ///< Were tried before.
+  std::int64_t Size = 0;          ///< Tokens at most, or zero.
 };
 
 /// @brief The targets by name and service. No I/O, no clock.
@@ -52,6 +53,8 @@
   /// @brief A registration is gone.
   /// @param Outage Whether the registry was lately out or unreachable.
   void erase(Instant Now, const TargetId &Name, bool Outage);
+  /// @brief The times have changed.
+  void update(VanishTimes Given) { Times = Given; }
   /// @brief Drops for good what vanished long enough ago.
   void expire(Instant Now);
   /// @brief Forgets all registrations not in a list of names, as if erased.
--- a/src/goldcrestnotch/escrow/gate.hpp
+++ b/src/goldcrestnotch/escrow/gate.hpp
@@ -23,29 +23,40 @@
     News.expires_at(boost::asio::steady_timer::time_point::max());
   }
 
-  /// @brief Reserves a bound, waiting for news if it falls short.
+  /// @brief Reserves a bound; if it falls short, waits for the store and asks
+  /// other VMs.
   /// @param Until When to give up.
   [[nodiscard]] Admission admit(boost::asio::yield_context Yield,
                                 const WorkspaceId &Name, Tokens Budget,
                                 Tokens Bound, Instant Until) {
-    auto Result = Held.reserve(DecisionClock::now(), Known, Name, Budget, Bound);
+    const auto Reserve = [&] {
+      return Held.reserve(DecisionClock::now(), Known, Name, Budget, Bound);
+    };
+    auto Result = Reserve();
+    if (Result != Admission::Short) {
+      return Result;
+    }
+    Hurry();
+    awaitNews(Yield, std::min(Until, DecisionClock::now() + StoreWait));
+    Result = Reserve();
+    if (Result == Admission::Short && Borrow) {
+      Borrow(Yield, Name, Bound);
+      Result = Reserve();
+    }
     while (Result == Admission::Short && DecisionClock::now() < Until) {
-      Hurry();
-      boost::asio::steady_timer Limit{News.get_executor()};
-      Limit.expires_at(
-          boost::asio::steady_timer::time_point{Until.time_since_epoch()});
-      Limit.async_wait([this](const boost::system::error_code &Cancelled) {
-        if (!Cancelled) {
-          notify();
-        }
-      });
-      boost::system::error_code Ignored; // The wait always ends by a cancel.
-      News.async_wait(Yield[Ignored]);
-      Result = Held.reserve(DecisionClock::now(), Known, Name, Budget, Bound);
+      awaitNews(Yield, Until);
+      Result = Reserve();
     }
     return Result;
   }
 
+  /// @brief Says how to ask other VMs for tokens.
+  void lendBy(std::function<void(boost::asio::yield_context,
+                                 const WorkspaceId &, Tokens)>
+                  Ask) {
+    Borrow = std::move(Ask);
+  }
+
   void settle(const WorkspaceId &Name, Tokens Bound, Tokens Spent) {
     Held.settle(DecisionClock::now(), Name, Bound, Spent);
   }
@@ -54,10 +65,28 @@
   void notify() { News.cancel(); }
 
 private:
+  /// The store answers within this when it is well.
+  static constexpr Millis StoreWait{30};
+
+  void awaitNews(boost::asio::yield_context Yield, Instant Until) {
+    boost::asio::steady_timer Limit{News.get_executor()};
+    Limit.expires_at(
+        boost::asio::steady_timer::time_point{Until.time_since_epoch()});
+    Limit.async_wait([this](const boost::system::error_code &Cancelled) {
+      if (!Cancelled) {
+        notify();
+      }
+    });
+    boost::system::error_code Ignored; // The wait always ends by a cancel.
+    News.async_wait(Yield[Ignored]);
+  }
+
   Book &Known;
   Holder &Held;
   boost::asio::steady_timer News;
   std::function<void()> Hurry;
+  std::function<void(boost::asio::yield_context, const WorkspaceId &, Tokens)>
+      Borrow;
 };
 
 } // namespace goldcrestnotch::escrow
--- a/src/goldcrestnotch/escrow/holder.cpp
+++ b/src/goldcrestnotch/escrow/holder.cpp
@@ -11,8 +11,10 @@
 
 namespace internal {
 
-/// What is held beyond this many targets goes back.
-static constexpr std::int64_t SurplusFactor = 2;
+/// What is held beyond this part of the target goes back.
+static constexpr std::int64_t SurplusPercent = 140;
+/// More is taken once what is held falls below this part.
+static constexpr std::int64_t LowPercent = 80;
 
 [[nodiscard]] static Tokens accountDrawn(const HolderRecord &Record,
                                          const WorkspaceId &Name) {
@@ -36,9 +38,11 @@
 
 Tokens Holder::available(const WorkspaceId &Name) const {
   const auto It = Desks.find(Name);
-  const Tokens Used =
-      It == Desks.end() ? Tokens{} : It->second.Spent + It->second.Reserved;
-  return drawn(Name) - Used;
+  if (It == Desks.end()) {
+    return drawn(Name);
+  }
+  const auto &At = It->second;
+  return drawn(Name) + At.Borrowed - At.Spent - At.Reserved;
 }
 
 double Holder::rate(const Desk &At, Instant Now) const {
@@ -58,9 +62,9 @@
   // Others report what they spent; what is in doubt may yet be there.
   const Tokens Unreported =
       At.Spent - At.Doubt -
-      (Confirmed.Accounts.contains(Name)
-           ? Confirmed.Accounts.at(Name).Spent - Confirmed.Accounts.at(Name).Doubt
-           : Tokens{});
+      (Confirmed.Accounts.contains(Name) ? Confirmed.Accounts.at(Name).Spent -
+                                               Confirmed.Accounts.at(Name).Doubt
+                                         : Tokens{});
   if (Budget - (All.Spent - All.Doubt) - Unreported < Bound) {
     return Admission::Exhausted;
   }
@@ -70,12 +74,41 @@
   return Admission::Short;
 }
 
+Tokens Holder::borrowing(Instant Now, const WorkspaceId &Name,
+                         Tokens Bound) const {
+  const auto It = Desks.find(Name);
+  const double Rate = It == Desks.end() ? 0.0 : rate(It->second, Now);
+  const Tokens Ahead{
+      static_cast<std::int64_t>(Rate * internal::seconds(Size.BorrowAhead))};
+  return std::max(Bound - available(Name), Tokens{}) + Ahead;
+}
+
+Tokens Holder::lend(Instant Now, const WorkspaceId &Name, Tokens Wanted) {
+  auto &At = Desks[Name];
+  const Tokens Keep{static_cast<std::int64_t>(
+      rate(At, Now) * internal::seconds(Size.LendKeep))};
+  const Tokens Given =
+      std::min(Wanted, std::max(available(Name) - Keep, Tokens{}));
+  const Tokens Onward = std::min(At.Borrowed, Given);
+  At.Borrowed -= Onward;
+  At.Spent += Given - Onward;
+  At.Doubt += Given - Onward;
+  return Given;
+}
+
+void Holder::borrow(const WorkspaceId &Name, Tokens Given) {
+  Desks[Name].Borrowed += Given;
+}
+
 void Holder::settle(Instant Now, const WorkspaceId &Name, Tokens Bound,
                     Tokens Spent) {
   auto &At = Desks[Name];
   Spent = std::min(Spent, Bound);
   At.Reserved -= Bound;
-  At.Spent += Spent;
+  const Tokens Lent = std::min(At.Borrowed, Spent);
+  At.Borrowed -= Lent;
+  At.Doubt -= Lent; // The lender has them in doubt.
+  At.Spent += Spent - Lent;
   At.Rate = rate(At, Now) + static_cast<double>(Spent.count()) /
                                 internal::seconds(Size.RateWindow);
   At.RateTime = Now;
@@ -129,12 +162,13 @@
   const Tokens Goal = std::max(Target, At.Reserved + Need);
   const bool OthersWant = All.Wanted > Tokens{};
   if (Held < Goal && Free > Tokens{}) {
-    const bool Low = Held < Target * 3 / 4 || Need > Tokens{};
+    const bool Low =
+        Held < Target * internal::LowPercent / 100 || Need > Tokens{};
     Result.Drawn += Low ? std::min(Goal - Held, Free) : Tokens{};
   } else if (Held > Goal) {
     const Tokens Keep = OthersWant || Leaving || Free < Tokens{}
                             ? Goal
-                            : Goal * internal::SurplusFactor;
+                            : Goal * internal::SurplusPercent / 100;
     Result.Drawn -= std::max(Held - Keep, Tokens{});
   }
   const Tokens Gets = Result.Drawn - At.Spent - At.Reserved;
@@ -181,14 +215,13 @@
 
 bool Holder::matters(const Proposal &Next) const {
   return !Next.Ended.empty() || Next.Record.Leaving != Confirmed.Leaving ||
-         std::any_of(
-             Next.Record.Accounts.begin(), Next.Record.Accounts.end(),
-             [&](const auto &Pair) {
-               const auto It = Confirmed.Accounts.find(Pair.first);
-               return It == Confirmed.Accounts.end() ||
-                      It->second.Drawn != Pair.second.Drawn ||
-                      It->second.Wanted != Pair.second.Wanted;
-             });
+         std::any_of(Next.Record.Accounts.begin(), Next.Record.Accounts.end(),
+                     [&](const auto &Pair) {
+                       const auto It = Confirmed.Accounts.find(Pair.first);
+                       return It == Confirmed.Accounts.end() ||
+                              It->second.Drawn != Pair.second.Drawn ||
+                              It->second.Wanted != Pair.second.Wanted;
+                     });
 }
 
 void Holder::sent(const Proposal &What) {
@@ -197,9 +230,10 @@
 }
 
 bool Holder::confirm(std::uint64_t Sequence) {
-  const auto It = std::find_if(
-      OnTheWay.begin(), OnTheWay.end(),
-      [&](const Proposal &One) { return One.Record.Sequence == Sequence; });
+  const auto It =
+      std::find_if(OnTheWay.begin(), OnTheWay.end(), [&](const Proposal &One) {
+        return One.Record.Sequence == Sequence;
+      });
   if (It == OnTheWay.end()) {
     return false;
   }
--- a/src/goldcrestnotch/escrow/holder.hpp
+++ b/src/goldcrestnotch/escrow/holder.hpp
@@ -30,11 +30,15 @@
 /// @brief How much a holder keeps at hand.
 struct Sizing {
   /// Demand that is held ahead: an outage of the store is served from it.
-  Millis Horizon{12'000};
+  Millis Horizon{9'000};
   /// Demand is averaged over this.
   Millis RateWindow{3'000};
   /// At least the free part divided by this and by the count of VMs.
-  std::int64_t FloorShare = 4;
+  std::int64_t FloorShare = 16;
+  /// A VM that lends keeps its own demand of this span.
+  Millis LendKeep{1'000};
+  /// A VM that borrows asks for its demand of this span.
+  Millis BorrowAhead{2'000};
   /// A want ends after this.
   Millis WantFor{1'000};
   /// At most this part of what is left, split by demand, in hundredths.
@@ -73,6 +77,16 @@
   [[nodiscard]] Admission reserve(Instant Now, const Book &Source,
                                   const WorkspaceId &Name, Tokens Budget,
                                   Tokens Bound);
+  /// @brief What to ask another VM for when a bound falls short.
+  [[nodiscard]] Tokens borrowing(Instant Now, const WorkspaceId &Name,
+                                 Tokens Bound) const;
+  /// @brief Gives tokens to another VM; here they count as spent.
+  /// @return What is given, at most what is wanted, or zero.
+  [[nodiscard]] Tokens lend(Instant Now, const WorkspaceId &Name,
+                            Tokens Wanted);
+  /// @brief Takes tokens that another VM gave.
+  void borrow(const WorkspaceId &Name, Tokens Given);
+
   /// @brief Ends a reservation.
   /// @param Spent At most `Bound`.
   void settle(Instant Now, const WorkspaceId &Name, Tokens Bound, Tokens Spent);
@@ -105,7 +119,8 @@
     Tokens Spent; ///< By this process, or written off from those before it.
     Tokens Doubt;
     Tokens Reserved;
-    Tokens Wanted; ///< The largest bound that found too little.
+    Tokens Borrowed; ///< From other VMs, not yet spent; theirs to account for.
+    Tokens Wanted;   ///< The largest bound that found too little.
     Instant WantDeadline{}; ///< When whoever wanted it has gone.
     double Rate = 0;
     Instant RateTime{};
--- a/src/goldcrestnotch/escrow/keeper.hpp
+++ b/src/goldcrestnotch/escrow/keeper.hpp
@@ -18,8 +18,8 @@
 
 /// @brief What a keeper writes besides the accounts, and for whom.
 struct KeeperTerms {
-  std::string Entry;   ///< Address for callers.
-  std::string Control; ///< Address for other VMs.
+  std::string Entry;       ///< Address for callers.
+  std::string Control;     ///< Address for other VMs.
   Millis Heartbeat{1'000}; ///< A record is written at least so often.
 };
 
@@ -32,21 +32,22 @@
   Keeper(Log &Store, store::Partition At, Book &Known, Holder &Held,
          KeeperTerms Terms, Observe Seen)
       : Store{Store}, Known{Known}, Held{Held}, Terms{std::move(Terms)},
-        Seen{std::move(Seen)},
-        Feed{Store, std::move(At),
-             [this](const store::Record &One) { take(One); }} {}
+        Seen{std::move(Seen)}, Feed{Store, std::move(At),
+                                    [this](const store::Record &One) {
+                                      take(One);
+                                    }} {}
 
   /// @brief Whether all records have been read once.
   [[nodiscard]] bool loaded() const noexcept { return Feed.loaded(); }
 
   /// @brief Reads, and writes if there is something to say.
   /// @throws store::StoreError
-  void step(boost::asio::yield_context Yield, const BudgetOf &Budgets,
-            const std::vector<WorkspaceId> &Names, std::size_t Vms) {
+  void step(boost::asio::yield_context Yield, Instant Now,
+            const BudgetOf &Budgets, const std::vector<WorkspaceId> &Names,
+            std::size_t Vms) {
     for (int Try = 0; Try < MostTries; ++Try) {
       Feed.poll(Yield, Millis{0});
       resolve();
-      const auto Now = DecisionClock::now();
       auto Next = Held.propose(Now, Known, Budgets, Names, Vms);
       Next.Record.Entry = Terms.Entry;
       Next.Record.Control = Terms.Control;
@@ -74,7 +75,8 @@
     Records.push_back({0, Held.name().str(), encode(Next.Record)});
     Held.sent(Next);
     SentAt = Condition;
-    const auto Result = Store.append(Yield, Feed.partition(), Condition, Records);
+    const auto Result =
+        Store.append(Yield, Feed.partition(), Condition, Records);
     if (!Result.Done) {
       return false; // The next read tells whether an earlier one was done.
     }
--- /dev/null
+++ b/src/goldcrestnotch/escrow/loans.cpp
@@ -0,0 +1,109 @@
+/// @file
+/// Loans over HTTP between VMs.
+
+#include "goldcrestnotch/escrow/loans.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include "goldcrestnotch/core/error.hpp"
+#include "goldcrestnotch/http/client.hpp"
+#include "goldcrestnotch/telemetry/log.hpp"
+
+namespace goldcrestnotch::escrow {
+
+namespace internal {
+
+/// VMs asked for one shortage.
+static constexpr std::size_t MostAsked = 4;
+/// A VM of the same region answers within this.
+static constexpr Millis AnswerWait{60};
+/// After asking in vain, nobody is asked for this long.
+static constexpr Millis VainPause{200};
+/// A VM that did not answer is left out for this long.
+static constexpr Millis SilentPause{2'000};
+
+[[nodiscard]] static std::int64_t numberOf(const std::string &Text) {
+  std::int64_t Result = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Result);
+  return Result;
+}
+
+} // namespace internal
+
+std::vector<std::string> Loans::lenders(const WorkspaceId &Name) const {
+  std::vector<std::pair<Tokens, std::string>> Found;
+  for (const auto &[Holder, Entry] : Known.entries()) {
+    if (!Entry.Record || Holder.Vm == Held.name().Vm) {
+      continue;
+    }
+    const auto It = Entry.Record->Accounts.find(Name);
+    if (It != Entry.Record->Accounts.end()) {
+      Found.emplace_back(It->second.Drawn - It->second.Spent,
+                         Entry.Record->Control);
+    }
+  }
+  std::sort(Found.rbegin(), Found.rend());
+  std::vector<std::string> Result;
+  for (auto &[Tokens, Control] : Found) {
+    Result.push_back(std::move(Control));
+  }
+  return Result;
+}
+
+void Loans::borrow(boost::asio::yield_context Yield, const WorkspaceId &Name,
+                   Tokens Bound) {
+  if (DecisionClock::now() < VainDeadline[Name] ||
+      !Asking.insert(Name).second) {
+    return;
+  }
+  std::size_t Asked = 0;
+  for (const auto &Address : lenders(Name)) {
+    const auto Now = DecisionClock::now();
+    if (Asked == internal::MostAsked || Held.available(Name) >= Bound) {
+      break;
+    }
+    if (Now < SilentDeadline[Address]) {
+      continue;
+    }
+    ++Asked;
+    http::Request Call;
+    Call.Method = "POST";
+    Call.Path = Path;
+    Call.Query = "workspace=" + Name.str() + "&tokens=" +
+                 std::to_string(Held.borrowing(Now, Name, Bound).count());
+    try {
+      http::Client Link{Yield, http::Endpoint::parse(Address)};
+      const auto Answer = Link.send(Call, Now + internal::AnswerWait);
+      const Tokens Given{internal::numberOf(Answer.Body)};
+      Held.borrow(Name, Given);
+      Measured.count("tokens_borrowed_total",
+                     static_cast<std::uint64_t>(Given.count()));
+    } catch (const Error &Failure) {
+      // What it gave is lost to both; it counts as spent there.
+      SilentDeadline[Address] = Now + internal::SilentPause;
+      log(LogLevel::Debug, "loan.failed",
+          {{"peer", Address}, {"cause", std::string{Failure.what()}}});
+    }
+  }
+  if (Held.available(Name) < Bound) {
+    VainDeadline[Name] = DecisionClock::now() + internal::VainPause;
+  }
+  Asking.erase(Name);
+}
+
+void Loans::serve(http::Exchange &Talk) {
+  const auto &Asked = Talk.request();
+  const WorkspaceId Name{Asked.parameter("workspace")};
+  const Tokens Wanted{
+      std::max<std::int64_t>(internal::numberOf(Asked.parameter("tokens")), 0)};
+  const auto Given = Held.lend(DecisionClock::now(), Name, Wanted);
+  Measured.count("tokens_lent_total",
+                 static_cast<std::uint64_t>(Given.count()));
+  http::Response Answer;
+  Answer.Fields["Content-Type"] = "text/plain";
+  Answer.Body = std::to_string(Given.count());
+  Talk.reply(Answer);
+}
+
+} // namespace goldcrestnotch::escrow
--- /dev/null
+++ b/src/goldcrestnotch/escrow/loans.hpp
@@ -0,0 +1,51 @@
+/// @file
+/// Tokens that VMs hand each other directly. The lender counts them as spent,
+/// so the budget holds whatever becomes of the borrower, and nobody writes to
+/// the store: loans go on while it is out.
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/spawn.hpp>
+
+#include "goldcrestnotch/escrow/holder.hpp"
+#include "goldcrestnotch/http/server.hpp"
+#include "goldcrestnotch/telemetry/metrics.hpp"
+
+namespace goldcrestnotch::escrow {
+
+/// @brief Asks other VMs for tokens and answers those that ask.
+class Loans {
+public:
+  /// Path of the call between VMs.
+  static constexpr const char *Path = "/v1/lend";
+
+  Loans(const Book &Known, Holder &Held, Metrics &Measured)
+      : Known{Known}, Held{Held}, Measured{Measured} {}
+
+  /// @brief Other VMs, those that seem to hold most of a budget first.
+  [[nodiscard]] std::vector<std::string> lenders(const WorkspaceId &Name) const;
+
+  /// @brief Asks some of them, until a bound is covered. One coroutine asks
+  /// for a workspace at a time; others return at once.
+  void borrow(boost::asio::yield_context Yield, const WorkspaceId &Name,
+              Tokens Bound);
+  /// @brief Answers a VM that asks.
+  void serve(http::Exchange &Talk);
+
+private:
+  const Book &Known;
+  Holder &Held;
+  Metrics &Measured;
+  std::set<WorkspaceId> Asking;
+  std::map<WorkspaceId, Instant> VainDeadline; ///< Nobody had any; until then.
+  std::map<std::string, Instant> SilentDeadline; ///< VMs that did not answer.
+};
+
+} // namespace goldcrestnotch::escrow
--- a/src/goldcrestnotch/escrow/record.hpp
+++ b/src/goldcrestnotch/escrow/record.hpp
@@ -18,11 +18,13 @@
 
 /// @brief One VM's part of one budget, counted from the budget's beginning.
 ///
-/// Invariant: `Doubt <= Spent <= Drawn`.
+/// Invariant: `Spent <= Drawn`. The sum of `Doubt` over all VMs is what counts
+/// as spent and may not be: left by processes that died, or lent and not yet
+/// used. A borrower takes what it uses off its own, which may be negative.
 struct Account {
   Tokens Drawn;  ///< Taken from the budget and not given back.
   Tokens Spent;  ///< Of these, used up or written off.
-  Tokens Doubt;  ///< Of these, what a process that died may not have used.
+  Tokens Doubt;  ///< Of these, what may not have been used; see above.
   Tokens Wanted; ///< Asked for and not free; others may give back.
   Tokens Rate;   ///< Spent in a second, lately.
 
--- /dev/null
+++ b/test/goldcrestnotch/backend/target_set_test.cpp
@@ -0,0 +1,114 @@
+/// @file
+/// Keeping and choosing targets.
+
+#include "goldcrestnotch/backend/target_set.hpp"
+
+#include <gtest/gtest.h>
+
+namespace goldcrestnotch::backend {
+namespace {
+
+constexpr Instant Start{Millis{100'000}};
+const ServiceId Engines{"engines"};
+
+Registration told(const char *Name, bool Leaving = false) {
+  return {TargetId{Name},  Engines, {"127.0.0.1", 1}, DomainId{"far"},
+          VersionId{"v1"}, 8,       Leaving,          1};
+}
+
+class TargetSetTest : public testing::Test {
+protected:
+  TargetSetTest() {
+    for (const auto *Name : {"a", "b", "c"}) {
+      Known.emplace(told(Name));
+    }
+  }
+
+  std::string pick(Instant Now, Wish Wanted = {Engines, {}, {}, 0}) const {
+    const auto Found = Known.pick(Now, Wanted);
+    return Found ? Found->Told.Name.str() : "";
+  }
+
+  TargetSet Known{DomainId{"near"}};
+};
+
+TEST_F(TargetSetTest, FewestInProgressGoesFirst) {
+  Known.find(TargetId{"a"})->InProgress = 2;
+  Known.find(TargetId{"b"})->InProgress = 1;
+  Known.find(TargetId{"c"})->InProgress = 3;
+  EXPECT_EQ(pick(Start), "b");
+}
+
+TEST_F(TargetSetTest, LeavingTargetGetsNothing) {
+  Known.emplace(told("a", true));
+  Known.emplace(told("b", true));
+  Known.emplace(told("c", true));
+  EXPECT_EQ(pick(Start), "");
+}
+
+TEST_F(TargetSetTest, TriedTargetIsLeftOut) {
+  EXPECT_EQ(pick(Start, {Engines, {}, {TargetId{"a"}, TargetId{"b"}}, 0}), "c");
+}
+
+TEST_F(TargetSetTest, SamePrefixGoesToSameTarget) {
+  const Wish Wanted{Engines, "prefix-7", {}, 0};
+  const auto First = pick(Start, Wanted);
+  Known.find(TargetId{First})->InProgress = 2;
+  EXPECT_EQ(pick(Start, Wanted), First);
+}
+
+TEST_F(TargetSetTest, PopularPrefixSpillsOver) {
+  const Wish Wanted{Engines, "prefix-7", {}, 0};
+  const auto First = pick(Start, Wanted);
+  Known.find(TargetId{First})->InProgress = 40;
+  EXPECT_NE(pick(Start, Wanted), First);
+}
+
+TEST_F(TargetSetTest, PausedTargetGoesLast) {
+  Known.find(TargetId{"a"})->PauseDeadline = Start + Millis{100};
+  Known.find(TargetId{"b"})->InProgress = 5;
+  Known.find(TargetId{"c"})->InProgress = 5;
+  EXPECT_NE(pick(Start), "a");
+  EXPECT_EQ(pick(Start + Millis{100}), "a");
+}
+
+// A target that left without a word got requests 2.1 s after its entry was
+// removed, since an outage three seconds before let it be kept for 2.6 s.
+TEST_F(TargetSetTest, RemovedTargetIsDroppedWhileItStillServes) {
+  constexpr Millis StillServes{2'000};
+  for (const bool Outage : {false, true}) {
+    TargetSet Other{DomainId{"near"}};
+    Other.emplace(told("a"));
+    Other.erase(Start, TargetId{"a"}, Outage);
+    Other.expire(Start + StillServes - Millis{1});
+    EXPECT_EQ(Other.size(), 0U);
+  }
+}
+
+TEST_F(TargetSetTest, TargetForgottenInAnOutageComesBack) {
+  Known.erase(Start, TargetId{"a"}, true);
+  Known.expire(Start + Millis{1'000});
+  ASSERT_TRUE(Known.find(TargetId{"a"}));
+  Known.emplace(told("a"));
+  Known.expire(Start + Millis{60'000});
+  EXPECT_TRUE(Known.find(TargetId{"a"}));
+}
+
+TEST_F(TargetSetTest, NewIncarnationForgetsWhatTheOldOneHad) {
+  Known.find(TargetId{"a"})->InProgress = 9;
+  auto Again = told("a");
+  Again.Incarnation = 2;
+  Known.emplace(Again);
+  EXPECT_EQ(Known.find(TargetId{"a"})->InProgress, 0);
+}
+
+TEST_F(TargetSetTest, AddressOfAnotherServiceIsNotOffered) {
+  auto Again = told("a");
+  Again.Serves = ServiceId{"desk"};
+  Known.emplace(Again);
+  EXPECT_EQ(pick(Start, {ServiceId{"desk"}, {}, {}, 0}), "a");
+  EXPECT_EQ(pick(Start, {Engines, {}, {TargetId{"b"}, TargetId{"c"}}, 0}), "");
+}
+
+} // namespace
+} // namespace goldcrestnotch::backend
