--- a/src/goldcrestnotch/backend/target.hpp
+++ b/src/goldcrestnotch/backend/target.hpp
@@ -21,8 +21,8 @@
   http::Endpoint Where;
   DomainId Domain;
   VersionId Version;
-  std::int64_t Capacity = 1;   ///< Requests that it runs at once.
-  bool Leaving = false;        ///< Takes no new work.
+  std::int64_t Capacity = 1;     ///< Requests that it runs at once.
+  bool Leaving = false;          ///< Takes no new work.
   std::uint64_t Incarnation = 0; ///< Differs between two starts of one name.
 };
 
@@ -35,9 +35,10 @@
   Instant DropDeadline = Instant::max(); ///< When a missing one is dropped.
   std::int64_t InProgress = 0;
   std::int64_t TokensInProgress = 0;
-  std::uint32_t Failures = 0;   ///< In a row.
-  Instant PauseDeadline{};      ///< Until then others go first.
-  Instant FullDeadline{};       ///< It refused for want of room; until then.
+  Instant ReadDeadline{};     ///< When all prompts sent to it should be read.
+  std::uint32_t Failures = 0; ///< In a row.
+  Instant PauseDeadline{};    ///< Until then others go first.
+  Instant FullDeadline{};     ///< It refused for want of room; until then.
 
   [[nodiscard]] bool missing() const noexcept {
     return DropDeadline != Instant::max();
--- a/src/goldcrestnotch/backend/target_set.cpp
+++ b/src/goldcrestnotch/backend/target_set.cpp
@@ -16,14 +16,21 @@
 /// popular prefix spills over instead of queueing.
 static constexpr double AffinityRatio = 1.5;
 static constexpr double AffinitySlack = 2;
-/// Requests in progress that a paused target seems to have besides.
-static constexpr double PausedCost = 1'000;
+/// Each request in progress counts as this many milliseconds of waiting.
+static constexpr double RequestCost = 5;
+/// The same for a paused target.
+static constexpr double PausedCost = 1e6;
 /// The same for one that just refused for want of room.
-static constexpr double FullCost = 100;
+static constexpr double FullCost = 1e5;
 /// The same for one whose registration is missing.
-static constexpr double MissingCost = 10;
+static constexpr double MissingCost = 1e4;
 /// A target in another failure domain costs a hop; breaks ties only.
-static constexpr double FarCost = 0.25;
+static constexpr double FarCost = 1;
+
+/// Shorter prompts say little of how fast an engine reads.
+static constexpr std::int64_t LeastLearnt = 4'000;
+/// Weight of one observation.
+static constexpr double LearnPart = 0.05;
 
 } // namespace internal
 
@@ -39,7 +46,9 @@
 }
 
 double TargetSet::cost(Instant Now, const Target &One) const {
-  double Result = static_cast<double>(One.InProgress);
+  double Result = static_cast<double>(One.InProgress) * internal::RequestCost;
+  Result +=
+      static_cast<double>(std::max(One.ReadDeadline - Now, Millis{0}).count());
   Result += Now < One.PauseDeadline ? internal::PausedCost : 0;
   Result += Now < One.FullDeadline ? internal::FullCost : 0;
   Result += One.missing() ? internal::MissingCost : 0;
@@ -47,8 +56,7 @@
   return Result;
 }
 
-std::shared_ptr<Target> TargetSet::pick(Instant Now,
-                                        const Wish &Wanted) const {
+std::shared_ptr<Target> TargetSet::pick(Instant Now, const Wish &Wanted) const {
   const auto At = Rows.find(Wanted.Service);
   if (At == Rows.end()) {
     return nullptr;
@@ -70,7 +78,7 @@
       Best = One;
       BestCost = Cost;
     }
-    if (Wanted.Affinity.empty() || Cost >= internal::MissingCost * 10) {
+    if (Wanted.Affinity.empty() || Cost >= internal::MissingCost) {
       continue;
     }
     const auto Score = rendezvous(Wanted.Affinity, One->Told.Name.str());
@@ -79,12 +87,16 @@
       AffineScore = Score;
     }
   }
-  if (Affine && static_cast<double>(Affine->InProgress) <=
-                    internal::AffinityRatio * Sum / Count +
-                        internal::AffinitySlack) {
-    return Affine;
+  if (!Affine) {
+    return Best;
   }
-  return Best;
+  const double Worth = Reading.AffinityFactor *
+                       static_cast<double>(Wanted.SharedSize) /
+                       Reading.TokensPerMs;
+  const bool Crowded =
+      static_cast<double>(Affine->InProgress) >
+      internal::AffinityRatio * Sum / Count + internal::AffinitySlack;
+  return cost(Now, *Affine) <= BestCost + Worth && !Crowded ? Affine : Best;
 }
 
 std::int64_t TargetSet::inProgress(const ServiceId &Name) const {
@@ -100,9 +112,9 @@
 
 void TargetSet::emplace(Registration Told) {
   auto &At = Targets[Told.Name];
-  const bool Moved = At && (At->Told.Serves != Told.Serves ||
-                            At->Told.Where != Told.Where ||
-                            At->Told.Incarnation != Told.Incarnation);
+  const bool Moved =
+      At && (At->Told.Serves != Told.Serves || At->Told.Where != Told.Where ||
+             At->Told.Incarnation != Told.Incarnation);
   if (At && !Moved) {
     At->Told = std::move(Told);
     At->DropDeadline = Instant::max();
@@ -112,6 +124,7 @@
     std::erase(Rows[At->Told.Serves], At);
   }
   At = std::make_shared<Target>();
+  Hashes[hashOf(Told.Name.str())] = Told.Name;
   At->Told = std::move(Told);
   Rows[At->Told.Serves].push_back(At);
 }
@@ -124,12 +137,40 @@
   It->second->DropDeadline = Now + (Outage ? Times.Outage : Times.Quiet);
 }
 
+void TargetSet::read(Instant Now, const TargetId &Name, std::int64_t Size) {
+  const auto At = find(Name);
+  if (!At) {
+    return;
+  }
+  const double Tokens = static_cast<double>(Size);
+  const double Work = Tokens * (1.0 + Tokens / Reading.DoubleAt);
+  At->ReadDeadline =
+      std::max(At->ReadDeadline, Now) +
+      Millis{static_cast<std::int64_t>(Work / Reading.TokensPerMs)};
+}
+
+void TargetSet::read(Instant Now, std::uint64_t NameHash, std::int64_t Size) {
+  if (const auto It = Hashes.find(NameHash); It != Hashes.end()) {
+    read(Now, It->second, Size);
+  }
+}
+
+void TargetSet::learn(std::int64_t Size, Millis Took) {
+  if (Size < internal::LeastLearnt || Took <= Millis{0}) {
+    return;
+  }
+  const double Speed =
+      static_cast<double>(Size) / static_cast<double>(Took.count());
+  Reading.TokensPerMs += internal::LearnPart * (Speed - Reading.TokensPerMs);
+}
+
 void TargetSet::expire(Instant Now) {
   std::erase_if(Targets, [&](const auto &Entry) {
     if (Now < Entry.second->DropDeadline) {
       return false;
     }
     std::erase(Rows[Entry.second->Told.Serves], Entry.second);
+    Hashes.erase(hashOf(Entry.first.str()));
     return true;
   });
 }
--- a/src/goldcrestnotch/backend/target_set.hpp
+++ b/src/goldcrestnotch/backend/target_set.hpp
@@ -30,14 +30,28 @@
   ServiceId Service;
   std::string_view Affinity;      ///< Empty for none.
   std::vector<TargetId> Excluded; ///< Were tried before.
-  std::int64_t Size = 0;          ///< Tokens at most, or zero.
+  std::int64_t Size = 0;          ///< Prompt tokens, or zero.
+  std::int64_t SharedSize = 0;    ///< Of these, shared with other requests.
+};
+
+/// @brief How engines are taken to read prompts.
+struct ReadingTerms {
+  /// Tokens that an engine reads in a millisecond, until that is learnt.
+  double TokensPerMs = 60;
+  /// Attention grows with the prompt: one of so many tokens takes twice as
+  /// long for a token.
+  double DoubleAt = 60'000;
+  /// A target that holds the shared part of a prompt is preferred though it
+  /// is busy for this many times what reading that part takes.
+  double AffinityFactor = 12;
 };
 
 /// @brief The targets by name and service. No I/O, no clock.
 class TargetSet {
 public:
-  explicit TargetSet(DomainId Own, VanishTimes Times = {})
-      : Own{std::move(Own)}, Times{Times} {}
+  explicit TargetSet(DomainId Own, VanishTimes Times = {},
+                     ReadingTerms Reading = {})
+      : Own{std::move(Own)}, Times{Times}, Reading{Reading} {}
 
   [[nodiscard]] std::size_t size() const noexcept { return Targets.size(); }
   [[nodiscard]] std::shared_ptr<Target> find(const TargetId &Name) const;
@@ -55,6 +69,13 @@
   void erase(Instant Now, const TargetId &Name, bool Outage);
   /// @brief The times have changed.
   void update(VanishTimes Given) { Times = Given; }
+  /// @brief A prompt goes to a target, from this VM or another one.
+  /// @param Size Tokens that the target has to read.
+  void read(Instant Now, const TargetId &Name, std::int64_t Size);
+  /// @param NameHash `hashOf` the target's name.
+  void read(Instant Now, std::uint64_t NameHash, std::int64_t Size);
+  /// @brief A prompt was read: how fast engines are.
+  void learn(std::int64_t Size, Millis Took);
   /// @brief Drops for good what vanished long enough ago.
   void expire(Instant Now);
   /// @brief Forgets all registrations not in a list of names, as if erased.
@@ -69,8 +90,10 @@
 
   DomainId Own;
   VanishTimes Times;
+  ReadingTerms Reading;
   std::map<TargetId, std::shared_ptr<Target>> Targets;
-  std::map<ServiceId, Row> Rows; ///< The same targets by service.
+  std::map<std::uint64_t, TargetId> Hashes; ///< Names by their hash.
+  std::map<ServiceId, Row> Rows;            ///< The same targets by service.
 };
 
 } // namespace goldcrestnotch::backend
--- a/src/goldcrestnotch/proxy/environment.hpp
+++ b/src/goldcrestnotch/proxy/environment.hpp
@@ -29,9 +29,12 @@
   LinkPool &Links;
   escrow::Gate &Budgets;
   Metrics &Measured;
-  std::shared_ptr<const routing::RouteTable> Table; ///< Null until one is known.
+  std::shared_ptr<const routing::RouteTable>
+      Table; ///< Null until one is known.
   bool Draining = false;
   std::size_t InProgress = 0; ///< Exchanges whose request has been read.
+  /// Tells other VMs that a target gets a prompt; may be empty.
+  std::function<void(const TargetId &, std::int64_t)> Announce;
   std::mt19937_64 Random{std::random_device{}()};
 
   /// @brief A number in [0, 1).
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -112,11 +112,9 @@
     Over->Socket.expires_at(socketTime(Until));
     auto Kept = Sending;
     auto Held = Over;
-    wire::async_write(
-        Over->Socket, Kept->Message,
-        [Kept, Held](const boost::system::error_code &Failure, std::size_t) {
-          Kept->Written = !Failure;
-        });
+    wire::async_write(Over->Socket, Kept->Message,
+                      [Kept, Held](const boost::system::error_code &Failure,
+                                   std::size_t) { Kept->Written = !Failure; });
   }
 
   /// @brief Reads the head of the answer to this request; answers to others
@@ -134,8 +132,7 @@
         return false;
       }
       const auto Echo = Answer->get()[AttemptName];
-      if (internal::view(Echo) == Attempt ||
-          (Echo.empty() && Stale == 0)) {
+      if (internal::view(Echo) == Attempt || (Echo.empty() && Stale == 0)) {
         return true;
       }
       std::string Discarded;
@@ -289,8 +286,8 @@
       Runs != nullptr && Runs->Engine ? Runs->Engine->TokensPerEvent : 1;
   const Tokens Bound = Shape->Input + Shape->MostOutput;
   const auto Wait = std::min(Until, From.arrival() + internal::BudgetWait);
-  switch (Shared.Budgets.admit(Yield, Owner->Name, *Owner->Prepaid, Bound,
-                               Wait)) {
+  switch (
+      Shared.Budgets.admit(Yield, Owner->Name, *Owner->Prepaid, Bound, Wait)) {
   case escrow::Admission::Admitted:
     Reserved = Bound;
     return true;
@@ -311,7 +308,8 @@
     const auto Now = DecisionClock::now();
     const backend::Wish Wanted{
         Service, Shape && Chosen->Affine ? Shape->Shared : std::string_view{},
-        Tried, 0};
+        Tried, Shape ? Shape->Input.count() : 0,
+        Shape ? Shape->SharedInput.count() : 0};
     const auto To = Shared.Targets.pick(Now, Wanted);
     if (!To) {
       Cause = "no_target";
@@ -324,8 +322,7 @@
     LastEnd = tryOnce(To);
     judge(*To, LastEnd);
     State.Begun = From.started();
-    State.RetryAllowed =
-        Shared.Retries.allows(DecisionClock::now(), Service);
+    State.RetryAllowed = Shared.Retries.allows(DecisionClock::now(), Service);
     Step = nextStep(State, LastEnd);
     if (Step == NextStep::Again && State.Sent > 0) {
       Shared.Retries.repeat(DecisionClock::now(), Service);
@@ -359,6 +356,13 @@
   From.watch([Over] { Over->Socket.close(); });
   ++State.Sent;
   const bool Before = std::exchange(State.MayHaveRun, true);
+  if (Shape) {
+    const auto Size = Shape->Input.count();
+    Shared.Targets.read(DecisionClock::now(), To->Told.Name, Size);
+    if (Shared.Announce) {
+      Shared.Announce(To->Told.Name, Size);
+    }
+  }
   Try.send(Until);
   const auto End = converse(Try);
   From.unwatch();
@@ -429,6 +433,9 @@
     const bool Sound = Over.readSome(Bytes);
     const auto Run = Events.feed(Bytes);
     EventsPassed += Run.Count;
+    if (Run.Count > 0) {
+      noteEvents();
+    }
     if (Run.Gap) {
       Cause = "event_missing";
       return TryEnd::Lost;
@@ -458,6 +465,22 @@
   return TryEnd::Done;
 }
 
+void Exchange::noteEvents() {
+  const auto Now = DecisionClock::now();
+  if (FirstEvent == Instant{}) {
+    FirstEvent = Now;
+    if (Shape && State.Sent == 1) {
+      Shared.Targets.learn(Shape->Input.count(), Now - From.arrival());
+    }
+    Shared.Measured.observe(
+        "first_event_seconds",
+        std::chrono::duration<double>(Now - From.arrival()).count());
+  } else {
+    LongestGap = std::max(LongestGap, Now - LastEvent);
+  }
+  LastEvent = Now;
+}
+
 void Exchange::judge(backend::Target &To, TryEnd End) const {
   const auto Now = DecisionClock::now();
   switch (End) {
@@ -571,9 +594,9 @@
     const double Seconds = std::chrono::duration<double>(*RetryAfter).count();
     const auto Length =
         std::snprintf(Text.data(), Text.size(), "%.3f", Seconds);
-    Fields.set(wire::field::retry_after,
-               beast::string_view(Text.data(),
-                                  static_cast<std::size_t>(Length)));
+    Fields.set(
+        wire::field::retry_after,
+        beast::string_view(Text.data(), static_cast<std::size_t>(Length)));
   }
   const std::string Body = R"({"error":")" + Cause + R"("})";
   From.reply(Yield, Status, Fields, Body,
@@ -608,6 +631,11 @@
               {"unreachable", static_cast<std::int64_t>(State.Unreachable)},
               {"target", Tried.empty() ? "" : Tried.back().str()},
               {"events", static_cast<std::int64_t>(EventsPassed)},
+              {"input", Shape ? Shape->Input.count() : 0},
+              {"first_ms", FirstEvent == Instant{}
+                               ? std::int64_t{-1}
+                               : (FirstEvent - From.arrival()).count()},
+              {"gap_ms", LongestGap.count()},
               {"took_ms", (DecisionClock::now() - From.arrival()).count()},
               {"left_ms", (Until - DecisionClock::now()).count()},
               {"config", Table ? static_cast<std::int64_t>(Table->version())
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -44,6 +44,7 @@
   void conclude(NextStep Step);
   void refuse(int Status, std::string_view Cause,
               std::optional<Millis> RetryAfter = std::nullopt);
+  void noteEvents();
   void settle();
   void report() const;
   [[nodiscard]] Millis comeBack();
@@ -58,19 +59,22 @@
   const routing::Workspace *Owner = nullptr;
   routing::ServiceId Service;
   std::optional<PromptShape> Shape;
-  Tokens Reserved;            ///< Zero if nothing is.
+  Tokens Reserved; ///< Zero if nothing is.
   std::int64_t EventTokens = 1;
-  Instant Until{};            ///< When the caller must have its final answer.
+  Instant Until{}; ///< When the caller must have its final answer.
   EventFramer Events;
   std::uint64_t EventsPassed = 0;
+  Instant FirstEvent{}; ///< When the first event came, if one did.
+  Instant LastEvent{};
+  Millis LongestGap{0}; ///< Between two events.
   TryState State;
   std::vector<TargetId> Tried;
   TryEnd LastEnd = TryEnd::Done;
   int FailureStatus = 0; ///< Of the last failure that a target answered with.
   WireFields FailureFields;
   std::string FailureBody;
-  int Answered = 0;           ///< Status that the caller got, zero for none.
-  std::string Cause;          ///< Why it is no success; for logs.
+  int Answered = 0;  ///< Status that the caller got, zero for none.
+  std::string Cause; ///< Why it is no success; for logs.
 };
 
 } // namespace goldcrestnotch::proxy
--- a/src/goldcrestnotch/roster/roster.hpp
+++ b/src/goldcrestnotch/roster/roster.hpp
@@ -31,7 +31,8 @@
     return Result;
   }
   /// @brief Addresses for other VMs, without one's own.
-  [[nodiscard]] std::vector<std::string> controls(const std::string &Own) const {
+  [[nodiscard]] std::vector<std::string>
+  controls(const std::string &Own) const {
     std::vector<std::string> Result;
     for (const auto &[Vm, One] : Members) {
       if (One.Control != Own && !One.Leaving) {
@@ -40,6 +41,17 @@
     }
     return Result;
   }
+  /// @brief IP numbers of VMs that are up, without one's own.
+  [[nodiscard]] std::vector<std::string>
+  addresses(Instant Now, const std::string &Own) const {
+    std::vector<std::string> Result;
+    for (const auto &[Vm, One] : Members) {
+      if (alive(Now, One) && Vm != Own) {
+        Result.push_back(Vm);
+      }
+    }
+    return Result;
+  }
   /// @brief Count of VMs that are up.
   [[nodiscard]] std::size_t size(Instant Now) const {
     std::size_t Count = 0;
@@ -57,8 +69,8 @@
     if (!News) {
       return;
     }
-    At = {Name.Boot, Record.Sequence, Record.Entry, Record.Control,
-          Record.Leaving, Now + Silence};
+    At = {Name.Boot,      Record.Sequence, Record.Entry,
+          Record.Control, Record.Leaving,  Now + Silence};
   }
   /// @brief Nothing could be read since an instant: VMs that were up then are
   /// taken to be up still.
