Prove the platform path with real daemons between stand-ins; keep coroutines off system threads

22 tests drive the daemon: whole and torn streams, orders at most once, truth of refusals, budgets over kills and lost answers, a VM that starts while the store is down, dropped history, unreadable records, draining, shutdown, directory.

Found by them: a yield context has no associated executor in Boost 1.74, so the HTTP client's sockets ran on the system's own threads; executorOf gives the coroutine's.

--- a/scenarios/runner/caller.cpp
+++ b/scenarios/runner/caller.cpp
@@ -9,6 +9,7 @@
 
 #include "goldcrestnotch/core/error.hpp"
 #include "goldcrestnotch/http/client.hpp"
+#include "goldcrestnotch/kernel/await.hpp"
 
 namespace scenario {
 
@@ -76,8 +77,7 @@
             Result["headers"][Name] = Value;
           }
           std::string Body;
-          boost::asio::steady_timer Timer{
-              boost::asio::get_associated_executor(Yield)};
+          boost::asio::steady_timer Timer{goldcrestnotch::executorOf(Yield)};
           while (true) {
             if (Stall > Millis{0}) {
               Timer.expires_after(Stall);
--- a/src/goldcrestnotch/entry/operator_handler.cpp
+++ b/src/goldcrestnotch/entry/operator_handler.cpp
@@ -8,6 +8,7 @@
 
 #include "goldcrestnotch/core/hash.hpp"
 #include "goldcrestnotch/entry/answer.hpp"
+#include "goldcrestnotch/kernel/await.hpp"
 #include "goldcrestnotch/membership/membership.hpp"
 
 namespace goldcrestnotch {
@@ -136,7 +137,7 @@
             .withVerdict(Verdict::MayHaveRun);
       }
     }
-    asio::steady_timer Timer{asio::get_associated_executor(Talk.yield())};
+    asio::steady_timer Timer{executorOf(Talk.yield())};
     Timer.expires_after(internal::AppendRetry);
     Timer.async_wait(Talk.yield());
   }
--- a/src/goldcrestnotch/http/client.cpp
+++ b/src/goldcrestnotch/http/client.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 
 #include "goldcrestnotch/core/error.hpp"
+#include "goldcrestnotch/kernel/await.hpp"
 
 namespace goldcrestnotch::http {
 
@@ -50,8 +51,7 @@
 class Connection final : public ClientStream {
 public:
   Connection(asio::yield_context Yield, Endpoint Where)
-      : Yield{Yield}, Where{std::move(Where)},
-        Socket{asio::get_associated_executor(Yield)} {
+      : Yield{Yield}, Where{std::move(Where)}, Socket{executorOf(Yield)} {
     Parser.body_limit(BodyBytes);
   }
 
--- a/src/goldcrestnotch/kernel/await.hpp
+++ b/src/goldcrestnotch/kernel/await.hpp
@@ -16,6 +16,15 @@
 
 namespace goldcrestnotch {
 
+/// @brief Where a coroutine runs. The yield context itself has no associated
+/// executor in Boost 1.74; asking it gives the system's own threads.
+[[nodiscard]] inline auto executorOf(boost::asio::yield_context Yield) {
+  boost::asio::async_completion<boost::asio::yield_context,
+                                void(boost::system::error_code)>
+      Init{Yield};
+  return boost::asio::get_associated_executor(Init.completion_handler);
+}
+
 /// @brief Suspends the coroutine until the callback is called, once, from any
 /// thread.
 /// @tparam Result What the callback is given; default constructible.
--- /dev/null
+++ b/standin/users_replica.cpp
@@ -0,0 +1,122 @@
+/// @file
+/// Answers of a replica.
+
+#include "users_replica.hpp"
+
+#include <cstdlib>
+
+#include <boost/asio/error.hpp>
+#include <boost/system/system_error.hpp>
+
+#include "standin.hpp"
+
+namespace standin {
+
+using goldcrestnotch::http::Endpoint;
+using goldcrestnotch::http::Exchange;
+using goldcrestnotch::http::Headers;
+using goldcrestnotch::http::Response;
+
+namespace {
+
+constexpr const char *Attempt = "X-Goldcrestnotch-Attempt-Id";
+constexpr int TornEvent = 3;
+
+[[noreturn]] void loseConnection() {
+  throw boost::system::system_error{boost::asio::error::connection_reset};
+}
+
+std::string event(int Number) {
+  return "id: " + std::to_string(Number) + "\ndata: e" +
+         std::to_string(Number) + "\n\n";
+}
+
+} // namespace
+
+UsersReplica::UsersReplica(boost::asio::io_context &Context, std::string Id,
+                           const Endpoint &Given)
+    : Name{std::move(Id)}, Where{Given},
+      Link{Context, Given, {}, [this](Exchange &Talk) { handle(Talk); }} {
+  Where.Port = Link.port();
+  Link.start();
+}
+
+std::string UsersReplica::entry(const std::string &Service,
+                                const std::string &State) const {
+  return json{{"service", Service},
+              {"address", Where.str()},
+              {"zone", "zone-a"},
+              {"version", "v1"},
+              {"capacity", 8},
+              {"state", State},
+              {"coldLeftMs", 0},
+              {"sequence", 1},
+              {"born", 1'700'000'000'000}}
+      .dump();
+}
+
+Headers UsersReplica::last() const {
+  const std::lock_guard Lock{Mutex};
+  return Last;
+}
+
+void UsersReplica::handle(Exchange &Talk) {
+  const auto &Asked = Talk.request();
+  Response Answer;
+  Answer.Fields[Attempt] = std::string{Asked.field(Attempt)};
+  Answer.Fields["Keep-Alive"] = "timeout=5";
+  if (Asked.field("X-Goldcrestnotch-Expect-Replica") != Name) {
+    Answer.Status = 421;
+    Talk.reply(Answer);
+    return;
+  }
+  if (Now == Mood::Full) {
+    Answer.Status = 503;
+    Answer.Fields["X-Goldcrestnotch-Not-Executed"] = "1";
+    Talk.reply(Answer);
+    return;
+  }
+  ++Runs;
+  {
+    const std::lock_guard Lock{Mutex};
+    Last = Asked.Fields;
+  }
+  if (Now == Mood::Vanishing) {
+    loseConnection();
+  }
+  Answer.Fields["X-Goldcrestnotch-Replica-Signature"] = "signed-" + Name;
+  if (Now == Mood::Failing) {
+    Answer.Status = 500;
+    Talk.reply(Answer);
+    return;
+  }
+  if (Now == Mood::Gibbering) {
+    Response Stale = Answer;
+    Stale.Fields[Attempt] = "another-request";
+    Stale.Body = "stale";
+    Talk.reply(Stale);
+  }
+  if (!Asked.field("X-Goldcrestnotch-Token-Usage").empty()) {
+    stream(Talk, std::move(Answer));
+    return;
+  }
+  Answer.Body = "done by " + Name;
+  Talk.reply(Answer);
+}
+
+void UsersReplica::stream(Exchange &Talk, Response Head) {
+  Head.Fields["Content-Type"] = "text/event-stream";
+  const std::string After{Talk.request().field("Last-Event-Id")};
+  Talk.start(Head);
+  for (int I = std::atoi(After.c_str()) + 1; I <= Events; ++I) {
+    sleep(Talk, Millis{EventMs});
+    if (Now == Mood::Tearing && I == TornEvent) {
+      Talk.write(event(I).substr(0, 4));
+      loseConnection();
+    }
+    Talk.write(event(I));
+  }
+  Talk.finish();
+}
+
+} // namespace standin
--- /dev/null
+++ b/standin/users_replica.hpp
@@ -0,0 +1,61 @@
+/// @file
+/// Stand-in for a replica of the users' platform. It counts what it runs and
+/// misbehaves as tests ask.
+
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "goldcrestnotch/http/server.hpp"
+
+namespace standin {
+
+/// @brief One replica with an id of its own.
+class UsersReplica {
+public:
+  /// @brief What it does with requests.
+  enum class Mood : std::uint8_t {
+    Well,
+    Full,      ///< States that it ran nothing.
+    Failing,   ///< Runs, and answers 500.
+    Vanishing, ///< Runs, and closes without an answer.
+    Tearing,   ///< Breaks off in the middle of the third event.
+    Gibbering, ///< Answers with another request's id, then rightly.
+  };
+
+  UsersReplica(boost::asio::io_context &Context, std::string Name,
+               const goldcrestnotch::http::Endpoint &Where);
+
+  [[nodiscard]] const std::string &name() const noexcept { return Name; }
+  /// @brief What stands in the registry about it.
+  [[nodiscard]] std::string entry(const std::string &Service,
+                                  const std::string &State) const;
+  /// @brief Requests that it ran.
+  [[nodiscard]] std::uint64_t runs() const noexcept { return Runs; }
+  /// @brief Header fields of the last request that it ran.
+  [[nodiscard]] goldcrestnotch::http::Headers last() const;
+
+  std::atomic<Mood> Now{Mood::Well};
+  std::atomic<int> Events{5};
+  std::atomic<int> EventMs{1}; ///< Before each event.
+
+private:
+  void handle(goldcrestnotch::http::Exchange &Talk);
+  void stream(goldcrestnotch::http::Exchange &Talk,
+              goldcrestnotch::http::Response Head);
+
+  std::string Name;
+  goldcrestnotch::http::Endpoint Where;
+  std::atomic<std::uint64_t> Runs{0};
+  mutable std::mutex Mutex;
+  goldcrestnotch::http::Headers Last; ///< Guarded by `Mutex`.
+  goldcrestnotch::http::Server Link;
+};
+
+} // namespace standin
--- a/test/goldcrestnotch/backend/target_set_test.cpp
+++ b/test/goldcrestnotch/backend/target_set_test.cpp
@@ -24,7 +24,7 @@
     }
   }
 
-  std::string pick(Instant Now, Wish Wanted = {Engines, {}, {}, 0}) const {
+  std::string pick(Instant Now, Wish Wanted = {Engines, {}, {}, 0, 0}) const {
     const auto Found = Known.pick(Now, Wanted);
     return Found ? Found->Told.Name.str() : "";
   }
@@ -47,18 +47,19 @@
 }
 
 TEST_F(TargetSetTest, TriedTargetIsLeftOut) {
-  EXPECT_EQ(pick(Start, {Engines, {}, {TargetId{"a"}, TargetId{"b"}}, 0}), "c");
+  EXPECT_EQ(pick(Start, {Engines, {}, {TargetId{"a"}, TargetId{"b"}}, 0, 0}),
+            "c");
 }
 
 TEST_F(TargetSetTest, SamePrefixGoesToSameTarget) {
-  const Wish Wanted{Engines, "prefix-7", {}, 0};
+  const Wish Wanted{Engines, "prefix-7", {}, 6'000, 5'000};
   const auto First = pick(Start, Wanted);
   Known.find(TargetId{First})->InProgress = 2;
   EXPECT_EQ(pick(Start, Wanted), First);
 }
 
 TEST_F(TargetSetTest, PopularPrefixSpillsOver) {
-  const Wish Wanted{Engines, "prefix-7", {}, 0};
+  const Wish Wanted{Engines, "prefix-7", {}, 6'000, 5'000};
   const auto First = pick(Start, Wanted);
   Known.find(TargetId{First})->InProgress = 40;
   EXPECT_NE(pick(Start, Wanted), First);
@@ -106,8 +107,9 @@
   auto Again = told("a");
   Again.Serves = ServiceId{"desk"};
   Known.emplace(Again);
-  EXPECT_EQ(pick(Start, {ServiceId{"desk"}, {}, {}, 0}), "a");
-  EXPECT_EQ(pick(Start, {Engines, {}, {TargetId{"b"}, TargetId{"c"}}, 0}), "");
+  EXPECT_EQ(pick(Start, {ServiceId{"desk"}, {}, {}, 0, 0}), "a");
+  EXPECT_EQ(pick(Start, {Engines, {}, {TargetId{"b"}, TargetId{"c"}}, 0, 0}),
+            "");
 }
 
 } // namespace
--- /dev/null
+++ b/test/platform/fleet_test.cpp
@@ -0,0 +1,299 @@
+/// @file
+/// What callers and replicas see of real daemons, on good days and bad.
+
+#include "fleet.hpp"
+
+#include <csignal>
+#include <future>
+
+#include <gtest/gtest.h>
+
+namespace platform_test {
+namespace {
+
+const Call Chat{"/chat/1", "key-1", "a1", "100,60"};
+const Call Order{"/order/1", "key-1", "b1"};
+const Call Stock{"/stock/1", "key-1", "c1"};
+const std::string WholeStream =
+    "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"
+    "id: 4\ndata: e4\n\nid: 5\ndata: e5\n\n";
+
+TEST(Platform, ServesStreamsAndCalls) {
+  Fleet All;
+  ASSERT_TRUE(All.ready());
+  const auto Streamed = All.call(Chat);
+  EXPECT_EQ(Streamed.Status, 200);
+  EXPECT_TRUE(Streamed.Whole);
+  EXPECT_EQ(Streamed.Body, WholeStream);
+  EXPECT_TRUE(Streamed.Fields.contains("X-Goldcrestnotch-Replica-Signature"));
+  EXPECT_EQ(All.call(Order).Status, 200);
+  EXPECT_EQ(All.call(Stock).Status, 200);
+  EXPECT_EQ(All.runs(), 3U);
+}
+
+TEST(Platform, ReplicaLearnsTheWorkspaceAndNeverTheKey) {
+  Fleet All{1};
+  ASSERT_TRUE(All.ready());
+  EXPECT_EQ(All.call(Order).Status, 200);
+  const auto Seen = All.engine(0).last();
+  EXPECT_EQ(Seen.at("X-Goldcrestnotch-Tenant"), "stall");
+  EXPECT_FALSE(Seen.contains("Authorization"));
+  EXPECT_LT(std::stoi(Seen.at("X-Goldcrestnotch-Deadline-Ms")), 5'000);
+}
+
+TEST(Platform, RefusesUnknownKeysAndRoutes) {
+  Fleet All;
+  ASSERT_TRUE(All.ready());
+  auto Wrong = Order;
+  Wrong.Key = "key-9";
+  EXPECT_EQ(All.call(Wrong).Status, 401);
+  Wrong = Order;
+  Wrong.Path = "/nowhere/1";
+  EXPECT_EQ(All.call(Wrong).Status, 404);
+  EXPECT_EQ(All.runs(), 0U);
+}
+
+TEST(Platform, KeepsToTheBudgetOverKills) {
+  Fleet All{1, 2};
+  constexpr int Cost = 100 + 5 * 6;
+  constexpr int Paid = 20;
+  All.publish(2, Cost * Paid + 60);
+  ASSERT_TRUE(All.ready(0));
+  ASSERT_TRUE(All.ready(1));
+  int Served = 0;
+  for (int I = 0; I < 60; ++I) {
+    auto Next = Chat;
+    Next.Id = "a" + std::to_string(I);
+    Served += All.call(Next, I % 2).Status == 200;
+    if (I == 5 || I == 25) {
+      All.daemon(I % 2).signal(SIGKILL);
+      ASSERT_TRUE(All.daemon(I % 2).wait(2'000));
+      All.start(I % 2);
+      ASSERT_TRUE(All.ready(I % 2));
+    }
+  }
+  EXPECT_GT(Served, 0);
+  EXPECT_LE(All.runs(), static_cast<std::uint64_t>(Paid));
+}
+
+TEST(Platform, TopUpTakesEffect) {
+  Fleet All;
+  All.publish(2, 100);
+  ASSERT_TRUE(All.ready());
+  ASSERT_TRUE(All.eventually([&] { return All.call(Chat).Status == 402; }));
+  All.publish(3, 100'000);
+  EXPECT_TRUE(All.eventually([&] { return All.call(Chat).Status == 200; }));
+}
+
+TEST(Platform, OrderThatMayHaveRunIsNotRepeated) {
+  Fleet All;
+  ASSERT_TRUE(All.ready());
+  All.engine(0).Now = All.engine(1).Now = UsersReplica::Mood::Vanishing;
+  EXPECT_EQ(All.call(Order).Status, 502);
+  EXPECT_EQ(All.runs(), 1U);
+}
+
+TEST(Platform, OrderThatWasRefusedGoesElsewhere) {
+  Fleet All;
+  ASSERT_TRUE(All.ready());
+  All.engine(0).Now = UsersReplica::Mood::Full;
+  for (int I = 0; I < 4; ++I) {
+    auto Next = Order;
+    Next.Id = "b" + std::to_string(I);
+    EXPECT_EQ(All.call(Next).Status, 200);
+  }
+  EXPECT_EQ(All.engine(0).runs(), 0U);
+}
+
+TEST(Platform, RefusalBySaturatedReplicasSaysWhenToComeBack) {
+  Fleet All;
+  ASSERT_TRUE(All.ready());
+  All.engine(0).Now = All.engine(1).Now = UsersReplica::Mood::Full;
+  const auto Refused = All.call(Order);
+  EXPECT_EQ(Refused.Status, 503);
+  EXPECT_GT(std::stod(Refused.Fields.at("Retry-After")), 0.0);
+  EXPECT_EQ(All.runs(), 0U);
+}
+
+TEST(Platform, ReadIsRepeatedAfterAFailure) {
+  Fleet All;
+  ASSERT_TRUE(All.ready());
+  All.engine(0).Now = UsersReplica::Mood::Failing;
+  for (int I = 0; I < 4; ++I) {
+    auto Next = Stock;
+    Next.Id = "c" + std::to_string(I);
+    EXPECT_EQ(All.call(Next).Status, 200);
+  }
+}
+
+TEST(Platform, TornStreamGoesOnAtAnotherReplica) {
+  Fleet All;
+  ASSERT_TRUE(All.ready());
+  All.engine(0).Now = UsersReplica::Mood::Tearing;
+  for (int I = 0; I < 4; ++I) {
+    auto Next = Chat;
+    Next.Id = "a" + std::to_string(I);
+    const auto Streamed = All.call(Next);
+    EXPECT_TRUE(Streamed.Whole);
+    EXPECT_EQ(Streamed.Body, WholeStream);
+  }
+}
+
+TEST(Platform, TornStreamThatCannotGoOnDoesNotLookWhole) {
+  Fleet All;
+  ASSERT_TRUE(All.ready());
+  All.engine(0).Now = All.engine(1).Now = UsersReplica::Mood::Tearing;
+  EXPECT_FALSE(All.call(Chat).Whole);
+}
+
+TEST(Platform, AnswerToAnotherRequestIsPassedOver) {
+  Fleet All{1};
+  ASSERT_TRUE(All.ready());
+  All.engine(0).Now = UsersReplica::Mood::Gibbering;
+  for (int I = 0; I < 3; ++I) {
+    auto Next = Order;
+    Next.Id = "b" + std::to_string(I);
+    EXPECT_EQ(All.call(Next).Body, "done by i-0");
+  }
+}
+
+TEST(Platform, LeavingReplicaGetsNothingMore) {
+  Fleet All;
+  ASSERT_TRUE(All.ready());
+  All.state(All.engine(0), "draining");
+  std::this_thread::sleep_for(std::chrono::milliseconds{1'000});
+  const auto Before = All.engine(0).runs();
+  for (int I = 0; I < 10; ++I) {
+    auto Next = Order;
+    Next.Id = "b" + std::to_string(I);
+    EXPECT_EQ(All.call(Next).Status, 200);
+  }
+  EXPECT_EQ(All.engine(0).runs(), Before);
+}
+
+TEST(Platform, GoesOnWhileTheStoreIsDown) {
+  Fleet All;
+  ASSERT_TRUE(All.ready());
+  ASSERT_TRUE(All.eventually([&] { return All.call(Chat).Status == 200; }));
+  All.Store.Down = true;
+  std::this_thread::sleep_for(std::chrono::milliseconds{1'500});
+  EXPECT_EQ(All.call(Chat).Status, 200);
+  EXPECT_EQ(All.call(Order).Status, 200);
+  All.publish(2, 1'000'000, "key-2");
+  All.Store.Down = false;
+  auto Next = Order;
+  Next.Key = "key-2";
+  EXPECT_TRUE(All.eventually([&] { return All.call(Next).Status == 200; }));
+  EXPECT_EQ(All.call(Order).Status, 401);
+}
+
+TEST(Platform, VmThatStartsWhileTheStoreIsDownAsksAnother) {
+  Fleet All{2, 2};
+  ASSERT_TRUE(All.ready(0));
+  ASSERT_TRUE(All.ready(1));
+  ASSERT_TRUE(All.eventually([&] { return All.call(Chat).Status == 200; }));
+  All.Store.Down = true;
+  All.daemon(1).signal(SIGKILL);
+  ASSERT_TRUE(All.daemon(1).wait(2'000));
+  All.start(1);
+  ASSERT_TRUE(All.ready(1));
+  EXPECT_EQ(All.call(Order, 1).Status, 200);
+  // Tokens come from the other VM.
+  EXPECT_TRUE(All.eventually([&] { return All.call(Chat, 1).Status == 200; }));
+}
+
+TEST(Platform, LostAnswersOfTheStoreDoNoHarm) {
+  Fleet All{1, 2};
+  constexpr int Cost = 100 + 5 * 6;
+  All.publish(2, Cost * 10 + 60);
+  All.Store.LoseAnswers = true;
+  ASSERT_TRUE(All.ready(0));
+  ASSERT_TRUE(All.ready(1));
+  for (int I = 0; I < 30; ++I) {
+    auto Next = Chat;
+    Next.Id = "a" + std::to_string(I);
+    (void)All.call(Next, I % 2);
+  }
+  EXPECT_GT(All.runs(), 0U);
+  EXPECT_LE(All.runs(), 10U);
+}
+
+TEST(Platform, HistoryThatIsDroppedIsReadAnew) {
+  Fleet All;
+  ASSERT_TRUE(All.ready());
+  All.Store.Down = true;
+  std::this_thread::sleep_for(std::chrono::milliseconds{300});
+  All.publish(2, 1'000'000, "key-2");
+  All.Store.put("keyed.servers", "i-0", std::nullopt);
+  All.Store.compact("keyed.op");
+  All.Store.compact("keyed.servers");
+  All.Store.Down = false;
+  auto Next = Order;
+  Next.Key = "key-2";
+  EXPECT_TRUE(All.eventually([&] { return All.call(Next).Status == 200; }));
+}
+
+TEST(Platform, UnreadableRecordsArePassedOver) {
+  Fleet All;
+  ASSERT_TRUE(All.ready());
+  All.Store.put("keyed.op", "config", "{\"version\": 9, \"routes\": 7}");
+  All.Store.put("keyed.servers", "i-x", "\xff\x01");
+  All.Store.put("keyed.servers", "i-y", R"({"service":1,"address":"x"})");
+  All.Store.put("keyed.escrow", "no-holder", "\x01");
+  std::this_thread::sleep_for(std::chrono::milliseconds{700});
+  EXPECT_EQ(All.call(Order).Status, 200);
+  EXPECT_NE(All.daemon().output().find("config.unreadable"), std::string::npos);
+}
+
+TEST(Platform, ConfigurationNeverGoesBack) {
+  Fleet All;
+  ASSERT_TRUE(All.ready());
+  All.publish(5, 1'000'000, "key-5");
+  auto Next = Order;
+  Next.Key = "key-5";
+  ASSERT_TRUE(All.eventually([&] { return All.call(Next).Status == 200; }));
+  All.publish(4, 1'000'000, "key-1");
+  std::this_thread::sleep_for(std::chrono::milliseconds{500});
+  EXPECT_EQ(All.call(Next).Status, 200);
+}
+
+TEST(Platform, ShutdownFinishesWhatRuns) {
+  Fleet All{1};
+  ASSERT_TRUE(All.ready());
+  All.engine(0).EventMs = 200;
+  auto Running = std::async(std::launch::async, [&] { return All.call(Chat); });
+  ASSERT_TRUE(All.eventually([&] { return All.runs() == 1; }));
+  All.daemon().signal(SIGTERM);
+  EXPECT_TRUE(All.eventually([&] {
+    return All.ask(Fleet::ReadyPort, "/api/readiness").Status == 503;
+  }));
+  EXPECT_EQ(Running.get().Body, WholeStream);
+  EXPECT_EQ(All.daemon().wait(4'000), 0);
+}
+
+TEST(Platform, DirectoryNamesTheVmsThatTakeCallers) {
+  Fleet All{1, 2};
+  const std::string Path =
+      "/api/resolve?name=shop.example&region=r&zone=zone-a";
+  const auto Count = [&] {
+    const auto Answer = All.ask(Fleet::DirectoryPort, Path);
+    return Answer.Status == 200
+               ? json::parse(Answer.Body).at("addresses").size()
+               : 0U;
+  };
+  ASSERT_TRUE(All.ready(0));
+  EXPECT_TRUE(All.eventually([&] { return Count() == 2; }));
+  All.daemon(1).signal(SIGTERM);
+  EXPECT_TRUE(All.eventually([&] { return Count() == 1; }, 1'500));
+}
+
+TEST(Platform, MetricsAreServed) {
+  Fleet All;
+  ASSERT_TRUE(All.ready());
+  ASSERT_EQ(All.call(Order).Status, 200);
+  const auto Text = All.ask(Fleet::ReadyPort, "/metrics").Body;
+  EXPECT_NE(Text.find("requests_total{outcome=\"ok\"} 1"), std::string::npos);
+}
+
+} // namespace
+} // namespace platform_test
