Move services between versions on the users' platform

Cause: orders to move a service were not read, so a new version got its full share of requests at once and no end was written.

--- a/src/goldcrestnotch/backend/target_set.cpp
+++ b/src/goldcrestnotch/backend/target_set.cpp
@@ -40,7 +40,7 @@
 }
 
 bool TargetSet::usable(const Target &One, const Wish &Wanted) {
-  return !One.Told.Leaving &&
+  return !One.Told.Leaving && Wanted.Version.allows(One.Told.Version) &&
          std::find(Wanted.Excluded.begin(), Wanted.Excluded.end(),
                    One.Told.Name) == Wanted.Excluded.end();
 }
--- a/src/goldcrestnotch/backend/target_set.hpp
+++ b/src/goldcrestnotch/backend/target_set.hpp
@@ -25,6 +25,16 @@
   Millis Outage{1'500};
 };
 
+/// @brief Which versions may serve a request.
+struct VersionWish {
+  VersionId Name;      ///< Empty if every version may.
+  bool Wanted = false; ///< This one only, or all but this one.
+
+  [[nodiscard]] bool allows(const VersionId &Version) const noexcept {
+    return Name.empty() || (Version == Name) == Wanted;
+  }
+};
+
 /// @brief What a request wants of a target.
 struct Wish {
   ServiceId Service;
@@ -32,6 +42,7 @@
   std::vector<TargetId> Excluded; ///< Were tried before.
   std::int64_t Size = 0;          ///< Prompt tokens, or zero.
   std::int64_t SharedSize = 0;    ///< Of these, shared with other requests.
+  VersionWish Version{};
 };
 
 /// @brief How engines are taken to read prompts.
--- a/src/goldcrestnotch/escrow/book.hpp
+++ b/src/goldcrestnotch/escrow/book.hpp
@@ -36,6 +36,10 @@
   [[nodiscard]] const HolderRecord *find(const HolderName &Name) const;
   [[nodiscard]] Totals totals(const WorkspaceId &Name) const;
 
+  /// @brief What all VMs together have seen of a move.
+  [[nodiscard]] MoveEvidence evidence(const std::string &Service,
+                                      const VersionId &To) const;
+
   /// @brief Takes a record in; an older one of the same holder is passed over.
   void apply(std::uint64_t Offset, const HolderName &Name,
              std::optional<HolderRecord> Record);
--- a/src/goldcrestnotch/escrow/keeper.hpp
+++ b/src/goldcrestnotch/escrow/keeper.hpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -42,6 +43,11 @@
   /// read from the store lies behind the end that is given as condition.
   [[nodiscard]] store::KeyedFeed<Log> &feed() noexcept { return Feed; }
 
+  /// @brief What this VM has seen of moves, for the next record.
+  void tell(std::map<std::string, MoveEvidence> Seen) {
+    Moves = std::move(Seen);
+  }
+
   /// @brief Reads, and writes if there is something to say.
   /// @throws store::StoreError
   void step(boost::asio::yield_context Yield, Instant Now,
@@ -53,11 +59,14 @@
       auto Next = Held.propose(Now, Known, Budgets, Names, Vms);
       Next.Record.Entry = Terms.Entry;
       Next.Record.Control = Terms.Control;
-      if (!Held.matters(Next) && Now < HeartbeatDeadline) {
+      Next.Record.Moves = Moves;
+      if (!Held.matters(Next) && Moves == MovesSent &&
+          Now < HeartbeatDeadline) {
         return;
       }
       if (write(Yield, Next)) {
         HeartbeatDeadline = Now + Terms.Heartbeat;
+        MovesSent = Moves;
         return;
       }
     }
@@ -139,6 +148,8 @@
   KeeperTerms Terms;
   Observe Seen;
   store::KeyedFeed<Log> Feed;
+  std::map<std::string, MoveEvidence> Moves;
+  std::map<std::string, MoveEvidence> MovesSent;
   std::uint64_t SentAt = 0;
   Instant HeartbeatDeadline{};
 };
--- a/src/goldcrestnotch/escrow/record.cpp
+++ b/src/goldcrestnotch/escrow/record.cpp
@@ -18,6 +18,19 @@
                     std::string{Text.substr(Slash + 1)}};
 }
 
+namespace internal {
+
+[[nodiscard]] static json countsJson(const VersionCounts &Source) {
+  return {Source.Requests, Source.Failed, Source.Slow};
+}
+
+[[nodiscard]] static VersionCounts countsOf(const json &From) {
+  return {From.at(0).get<std::uint64_t>(), From.at(1).get<std::uint64_t>(),
+          From.at(2).get<std::uint64_t>()};
+}
+
+} // namespace internal
+
 std::string encode(const HolderRecord &Source) {
   json Accounts = json::object();
   for (const auto &[Name, One] : Source.Accounts) {
@@ -25,11 +38,14 @@
                             One.Doubt.count(), One.Wanted.count(),
                             One.Rate.count()};
   }
-  const json Whole{{"n", Source.Sequence},
-                   {"e", Source.Entry},
-                   {"c", Source.Control},
-                   {"l", Source.Leaving},
-                   {"a", std::move(Accounts)}};
+  json Moves = json::object();
+  for (const auto &[Service, One] : Source.Moves) {
+    Moves[Service] = {One.To.str(), internal::countsJson(One.Old),
+                      internal::countsJson(One.New)};
+  }
+  const json Whole{{"n", Source.Sequence},     {"e", Source.Entry},
+                   {"c", Source.Control},      {"l", Source.Leaving},
+                   {"a", std::move(Accounts)}, {"m", std::move(Moves)}};
   const auto Bytes = json::to_cbor(Whole);
   return {Bytes.begin(), Bytes.end()};
 }
@@ -48,6 +64,11 @@
       };
       Result.Accounts[WorkspaceId{Name}] = {At(0), At(1), At(2), At(3), At(4)};
     }
+    for (const auto &[Service, One] : Whole.at("m").items()) {
+      Result.Moves[Service] = {VersionId{One.at(0).get<std::string>()},
+                               internal::countsOf(One.at(1)),
+                               internal::countsOf(One.at(2))};
+    }
     return Result;
   } catch (const json::exception &) {
     return std::nullopt; // The caller logs the key.
--- a/src/goldcrestnotch/escrow/record.hpp
+++ b/src/goldcrestnotch/escrow/record.hpp
@@ -13,6 +13,7 @@
 
 #include "goldcrestnotch/core/id.hpp"
 #include "goldcrestnotch/core/tokens.hpp"
+#include "goldcrestnotch/rollout/record.hpp"
 
 namespace goldcrestnotch::escrow {
 
@@ -31,6 +32,15 @@
   auto operator<=>(const Account &) const = default;
 };
 
+/// @brief What a process has seen of a version that a service moves to.
+struct MoveEvidence {
+  VersionId To;
+  VersionCounts Old;
+  VersionCounts New;
+
+  auto operator<=>(const MoveEvidence &) const = default;
+};
+
 /// @brief The record of one process of a VM.
 struct HolderRecord {
   std::uint64_t Sequence = 0; ///< Counts the records of this process.
@@ -38,6 +48,7 @@
   std::string Control;        ///< Address for other VMs.
   bool Leaving = false;       ///< Takes no new callers.
   std::map<WorkspaceId, Account> Accounts;
+  std::map<std::string, MoveEvidence> Moves; ///< By service, while one moves.
 
   auto operator<=>(const HolderRecord &) const = default;
 };
--- a/src/goldcrestnotch/proxy/environment.hpp
+++ b/src/goldcrestnotch/proxy/environment.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 
@@ -15,6 +16,7 @@
 #include "goldcrestnotch/escrow/gate.hpp"
 #include "goldcrestnotch/proxy/dialect.hpp"
 #include "goldcrestnotch/proxy/link.hpp"
+#include "goldcrestnotch/rollout/shift.hpp"
 #include "goldcrestnotch/routing/route_table.hpp"
 #include "goldcrestnotch/telemetry/metrics.hpp"
 
@@ -33,6 +35,7 @@
       Table; ///< Null until one is known.
   bool Draining = false;
   std::size_t InProgress = 0; ///< Exchanges whose request has been read.
+  std::map<routing::ServiceId, Shift> Moves; ///< The last of each service.
   /// Tells other VMs that a target gets a prompt; may be empty.
   std::function<void(const TargetId &, std::int64_t)> Announce;
   std::mt19937_64 Random{std::random_device{}()};
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -306,11 +306,7 @@
   auto Step = NextStep::Again;
   while (Step == NextStep::Again) {
     const auto Now = DecisionClock::now();
-    const backend::Wish Wanted{
-        Service, Shape && Chosen->Affine ? Shape->Shared : std::string_view{},
-        Tried, Shape ? Shape->Input.count() : 0,
-        Shape ? Shape->SharedInput.count() : 0};
-    const auto To = Shared.Targets.pick(Now, Wanted);
+    const auto To = choose(Now);
     if (!To) {
       Cause = "no_target";
       // Nothing else to try: what the last try led to stands.
@@ -332,6 +328,26 @@
   conclude(Step);
 }
 
+std::shared_ptr<backend::Target> Exchange::choose(Instant Now) {
+  backend::Wish Wanted{
+      Service, Shape && Chosen->Affine ? Shape->Shared : std::string_view{},
+      Tried, Shape ? Shape->Input.count() : 0,
+      Shape ? Shape->SharedInput.count() : 0};
+  const auto Move = Shared.Moves.find(Service);
+  if (Move == Shared.Moves.end()) {
+    return Shared.Targets.pick(Now, Wanted);
+  }
+  const bool New = Move->second.chooses(Shared.draw());
+  Wanted.Version = {Move->second.version(), New};
+  auto Found = Shared.Targets.pick(Now, Wanted);
+  if (!Found && Move->second.end() == MoveEnd::Open) {
+    // One of the versions has no target yet, or none any more.
+    Wanted.Version.Wanted = !New;
+    Found = Shared.Targets.pick(Now, Wanted);
+  }
+  return Found;
+}
+
 TryEnd Exchange::tryOnce(const std::shared_ptr<backend::Target> &To) {
   const auto Now = DecisionClock::now();
   if (Now >= Until) {
@@ -363,6 +379,8 @@
       Shared.Announce(To->Told.Name, Size);
     }
   }
+  TrySent = DecisionClock::now();
+  FirstByte = Millis{0};
   Try.send(Until);
   const auto End = converse(Try);
   From.unwatch();
@@ -379,6 +397,7 @@
     Cause = "answer_lost";
     return DecisionClock::now() >= Until ? TryEnd::Expired : TryEnd::Lost;
   }
+  FirstByte = DecisionClock::now() - TrySent;
   const auto &Fields = Over.fields();
   const bool Stated = Fields.find(Shared.Names.NotRun) != Fields.end();
   if (Over.status() == 421 || Stated) {
@@ -469,6 +488,7 @@
   const auto Now = DecisionClock::now();
   if (FirstEvent == Instant{}) {
     FirstEvent = Now;
+    FirstByte = Now - TrySent;
     if (Shape && State.Sent == 1) {
       Shared.Targets.learn(Shape->Input.count(), Now - From.arrival());
     }
@@ -481,8 +501,15 @@
   LastEvent = Now;
 }
 
-void Exchange::judge(backend::Target &To, TryEnd End) const {
+void Exchange::judge(backend::Target &To, TryEnd End) {
   const auto Now = DecisionClock::now();
+  const bool Ran = End == TryEnd::Done || End == TryEnd::Failed ||
+                   End == TryEnd::Lost || End == TryEnd::Expired;
+  if (const auto Move = Shared.Moves.find(Service);
+      Ran && Move != Shared.Moves.end()) {
+    Move->second.observe(Chosen->Name, To.Told.Version, End != TryEnd::Done,
+                         FirstByte);
+  }
   switch (End) {
   case TryEnd::Done:
   case TryEnd::Failed:
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -40,7 +40,8 @@
   [[nodiscard]] TryEnd converse(Upstream &Over);
   [[nodiscard]] TryEnd relay(Upstream &Over);
   [[nodiscard]] TryEnd passWhole(Upstream &Over);
-  void judge(backend::Target &To, TryEnd End) const;
+  [[nodiscard]] std::shared_ptr<backend::Target> choose(Instant Now);
+  void judge(backend::Target &To, TryEnd End);
   void conclude(NextStep Step);
   void refuse(int Status, std::string_view Cause,
               std::optional<Millis> RetryAfter = std::nullopt);
@@ -64,6 +65,8 @@
   Instant Until{}; ///< When the caller must have its final answer.
   EventFramer Events;
   std::uint64_t EventsPassed = 0;
+  Instant TrySent{};    ///< When the last try was sent.
+  Millis FirstByte{0};  ///< From there to the head of its answer.
   Instant FirstEvent{}; ///< When the first event came, if one did.
   Instant LastEvent{};
   Millis LongestGap{0}; ///< Between two events.
--- a/src/goldcrestnotch/store/keyed_feed.hpp
+++ b/src/goldcrestnotch/store/keyed_feed.hpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -32,6 +33,11 @@
   [[nodiscard]] std::uint64_t next() const noexcept { return Next; }
   /// @brief The newest offset known, from whatever source, plus one.
   [[nodiscard]] std::uint64_t known() const noexcept { return Known; }
+  /// @brief The newest value of a key; nothing if it is dropped or unknown.
+  [[nodiscard]] std::optional<std::string> value(const std::string &Key) const {
+    const auto It = Newest.find(Key);
+    return It == Newest.end() ? std::nullopt : It->second.Value;
+  }
   /// @brief Records behind an offset, for another VM.
   [[nodiscard]] std::vector<Record> since(std::uint64_t Offset) const {
     std::vector<Record> Result;
--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -32,6 +32,8 @@
   UsersReplica(boost::asio::io_context &Context, std::string Name,
                const goldcrestnotch::http::Endpoint &Where);
 
+  std::string Version = "v1"; ///< Set before it is registered.
+
   [[nodiscard]] const std::string &name() const noexcept { return Name; }
   /// @brief What stands in the registry about it.
   [[nodiscard]] std::string entry(const std::string &Service,
--- /dev/null
+++ b/test/goldcrestnotch/rollout/shift_test.cpp
@@ -0,0 +1,79 @@
+/// @file
+/// Judging a version by what all VMs have seen.
+
+#include "goldcrestnotch/rollout/shift.hpp"
+
+#include <gtest/gtest.h>
+
+namespace goldcrestnotch {
+namespace {
+
+constexpr Instant Start{Millis{100'000}};
+constexpr Millis Span{10'000};
+const RouteId Chat{"chat"};
+const VersionId Old{"v1"};
+const VersionId New{"v2"};
+
+Shift begun() { return {New, Start, Start + Span}; }
+
+TEST(Shift, TrialStaysBelowATenth) {
+  const auto Move = begun();
+  int Chosen = 0;
+  for (int I = 0; I < 1'000; ++I) {
+    Chosen += Move.chooses(I / 1'000.0);
+  }
+  EXPECT_GT(Chosen, 0);
+  EXPECT_LE(Chosen, 100);
+}
+
+TEST(Shift, GoodVersionIsTakenOverBeforeTheDeadline) {
+  auto Move = begun();
+  EXPECT_EQ(Move.judge(Start + Span / 2, {900, 5, 5}, {60, 0, 0}),
+            MoveEnd::Open);
+  EXPECT_EQ(Move.judge(Start + Span * 8 / 10, {1'800, 9, 9}, {120, 1, 0}),
+            MoveEnd::Done);
+}
+
+TEST(Shift, FailingVersionIsTakenBackAtOnce) {
+  auto Move = begun();
+  EXPECT_EQ(Move.judge(Start + Span / 10, {300, 1, 0}, {20, 8, 0}),
+            MoveEnd::TakenBack);
+}
+
+TEST(Shift, SlowVersionIsTakenBack) {
+  auto Move = begun();
+  for (int I = 0; I < 20; ++I) {
+    Move.observe(Chat, Old, false, Millis{100});
+    Move.observe(Chat, New, false, Millis{500});
+  }
+  EXPECT_EQ(Move.newCounts().Slow, 20U);
+  EXPECT_EQ(Move.judge(Start + Span / 10, Move.oldCounts(), Move.newCounts()),
+            MoveEnd::TakenBack);
+}
+
+TEST(Shift, VmStopsItsOwnTrialAtTheFirstFaults) {
+  auto Move = begun();
+  for (int I = 0; I < 3; ++I) {
+    Move.observe(Chat, New, true, Millis{0});
+  }
+  EXPECT_FALSE(Move.chooses(0.0));
+}
+
+TEST(Shift, VersionThatNobodyCouldTryIsTakenBackAtTheDeadline) {
+  auto Move = begun();
+  EXPECT_EQ(Move.judge(Start + Span * 9 / 10, {100, 0, 0}, {3, 0, 0}),
+            MoveEnd::Open);
+  EXPECT_EQ(Move.judge(Start + Span, {100, 0, 0}, {3, 0, 0}),
+            MoveEnd::TakenBack);
+}
+
+TEST(Shift, EndIsFinal) {
+  auto Move = begun();
+  Move.finish(MoveEnd::TakenBack);
+  Move.finish(MoveEnd::Done);
+  EXPECT_EQ(Move.end(), MoveEnd::TakenBack);
+  EXPECT_FALSE(Move.chooses(0.0));
+}
+
+} // namespace
+} // namespace goldcrestnotch
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -287,6 +287,61 @@
   EXPECT_TRUE(All.eventually([&] { return Count() == 1; }, 1'500));
 }
 
+/// Orders a move to v2, which half of the replicas run, and sends reads until
+/// it ends.
+std::string endOfMove(Fleet &All) {
+  for (const int Number : {2, 3}) {
+    All.engine(Number).Version = "v2";
+    All.state(All.engine(Number), "ready");
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds{500});
+  All.Store.put("keyed.op", "rollout/engines",
+                R"({"service":"engines","target":"v2","durationS":5})");
+  std::string State;
+  int Sent = 0;
+  EXPECT_TRUE(All.eventually(
+      [&] {
+        for (int I = 0; I < 10; ++I) {
+          auto Next = Stock;
+          Next.Id = "m" + std::to_string(++Sent);
+          (void)All.call(Next);
+        }
+        const auto Status = All.Store.value("keyed.status", "rollout/engines");
+        State = Status ? json::parse(*Status).at("state") : "";
+        return State == "completed" || State == "rolled_back";
+      },
+      10'000));
+  return State;
+}
+
+TEST(Platform, GoodVersionIsTakenOver) {
+  Fleet All{4};
+  ASSERT_TRUE(All.ready());
+  EXPECT_EQ(endOfMove(All), "completed");
+  const auto Before = All.engine(0).runs() + All.engine(1).runs();
+  for (int I = 0; I < 10; ++I) {
+    auto Next = Stock;
+    Next.Id = "n" + std::to_string(I);
+    EXPECT_EQ(All.call(Next).Status, 200);
+  }
+  EXPECT_EQ(All.engine(0).runs() + All.engine(1).runs(), Before);
+}
+
+TEST(Platform, BadVersionIsTakenBackAndGetsLittle) {
+  Fleet All{4};
+  ASSERT_TRUE(All.ready());
+  All.engine(2).Now = All.engine(3).Now = UsersReplica::Mood::Failing;
+  EXPECT_EQ(endOfMove(All), "rolled_back");
+  const auto Bad = All.engine(2).runs() + All.engine(3).runs();
+  EXPECT_LE(Bad, All.runs() / 10 + 50);
+  for (int I = 0; I < 10; ++I) {
+    auto Next = Stock;
+    Next.Id = "n" + std::to_string(I);
+    EXPECT_EQ(All.call(Next).Status, 200);
+  }
+  EXPECT_EQ(All.engine(2).runs() + All.engine(3).runs(), Bad);
+}
+
 TEST(Platform, MetricsAreServed) {
   Fleet All;
   ASSERT_TRUE(All.ready());
