--- a/src/goldcrestnotch/backend/target_set.cpp
+++ b/src/goldcrestnotch/backend/target_set.cpp
@@ -110,7 +110,22 @@
   return Sum;
 }
 
+void TargetSet::dropPredecessor(const Registration &Told) {
+  auto &Last = Places[Told.Where];
+  const auto Before = find(Last);
+  if (Before && Last != Told.Name && Before->Told.Where == Told.Where) {
+    if (Before->Told.Incarnation > Told.Incarnation) {
+      return; // The record of the one that has ended came late.
+    }
+    std::erase(Rows[Before->Told.Serves], Before);
+    Hashes.erase(hashOf(Last.str()));
+    Targets.erase(Last);
+  }
+  Last = Told.Name;
+}
+
 void TargetSet::emplace(Registration Told) {
+  dropPredecessor(Told);
   auto &At = Targets[Told.Name];
   const bool Moved =
       At && (At->Told.Serves != Told.Serves || At->Told.Where != Told.Where ||
--- a/src/goldcrestnotch/backend/target_set.hpp
+++ b/src/goldcrestnotch/backend/target_set.hpp
@@ -73,7 +73,8 @@
   /// @brief Requests of this VM in progress at a service.
   [[nodiscard]] std::int64_t inProgress(const ServiceId &Name) const;
 
-  /// @brief Takes a registration in.
+  /// @brief Takes a registration in. Whatever else stood at its address with
+  /// an earlier start has ended and is dropped at once.
   void emplace(Registration Told);
   /// @brief A registration is gone.
   /// @param Outage Whether the registry was lately out or unreachable.
@@ -96,6 +97,7 @@
 private:
   using Row = std::vector<std::shared_ptr<Target>>;
 
+  void dropPredecessor(const Registration &Told);
   [[nodiscard]] static bool usable(const Target &One, const Wish &Wanted);
   [[nodiscard]] double cost(Instant Now, const Target &One) const;
 
@@ -103,8 +105,9 @@
   VanishTimes Times;
   ReadingTerms Reading;
   std::map<TargetId, std::shared_ptr<Target>> Targets;
-  std::map<std::uint64_t, TargetId> Hashes; ///< Names by their hash.
-  std::map<ServiceId, Row> Rows;            ///< The same targets by service.
+  std::map<std::uint64_t, TargetId> Hashes;  ///< Names by their hash.
+  std::map<http::Endpoint, TargetId> Places; ///< The last at each address.
+  std::map<ServiceId, Row> Rows;             ///< The same targets by service.
 };
 
 } // namespace goldcrestnotch::backend
--- a/src/goldcrestnotch/escrow/keeper.hpp
+++ b/src/goldcrestnotch/escrow/keeper.hpp
@@ -19,9 +19,12 @@
 
 /// @brief What a keeper writes besides the accounts, and for whom.
 struct KeeperTerms {
-  std::string Entry;       ///< Address for callers.
-  std::string Control;     ///< Address for other VMs.
-  Millis Heartbeat{1'000}; ///< A record is written at least so often.
+  std::string Entry;   ///< Address for callers.
+  std::string Control; ///< Address for other VMs.
+  /// A record is written at least so often, and less often by many VMs: one
+  /// partition takes all of them.
+  Millis Heartbeat{1'000};
+  Millis HeartbeatPerVm{16};
 };
 
 /// @brief One partition of holders' records.
@@ -43,6 +46,12 @@
   /// read from the store lies behind the end that is given as condition.
   [[nodiscard]] store::KeyedFeed<Log> &feed() noexcept { return Feed; }
 
+  /// @brief The longest time between two records of a VM.
+  [[nodiscard]] Millis heartbeat(std::size_t Vms) const noexcept {
+    return std::max(Terms.Heartbeat,
+                    Terms.HeartbeatPerVm * static_cast<std::int64_t>(Vms));
+  }
+
   /// @brief What this VM has seen of moves, for the next record.
   void tell(std::map<std::string, MoveEvidence> Seen) {
     Moves = std::move(Seen);
@@ -65,7 +74,7 @@
         return;
       }
       if (write(Yield, Next)) {
-        HeartbeatDeadline = Now + Terms.Heartbeat;
+        HeartbeatDeadline = Now + heartbeat(Vms);
         MovesSent = Moves;
         return;
       }
--- a/src/goldcrestnotch/escrow/loans.cpp
+++ b/src/goldcrestnotch/escrow/loans.cpp
@@ -45,6 +45,7 @@
   }
   std::sort(Found.rbegin(), Found.rend());
   std::vector<std::string> Result;
+  Result.reserve(Found.size());
   for (auto &[Tokens, Control] : Found) {
     Result.push_back(std::move(Control));
   }
--- a/src/goldcrestnotch/proxy/caller_link.hpp
+++ b/src/goldcrestnotch/proxy/caller_link.hpp
@@ -35,7 +35,7 @@
 /// @brief A connection to a caller. Used by one coroutine.
 class CallerLink : public std::enable_shared_from_this<CallerLink> {
 public:
-  CallerLink(boost::asio::io_context &Loop) : Socket{Loop} {}
+  explicit CallerLink(boost::asio::io_context &Loop) : Socket{Loop} {}
 
   [[nodiscard]] Stream &stream() noexcept { return Socket; }
   [[nodiscard]] const WireRequest &request() const noexcept { return Asked; }
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -316,6 +316,9 @@
     }
     Tried.push_back(To->Told.Name);
     LastEnd = tryOnce(To);
+    if (LastEnd == TryEnd::Done) {
+      Cause.clear(); // Of a try before.
+    }
     judge(*To, LastEnd);
     State.Begun = From.started();
     State.RetryAllowed = Shared.Retries.allows(DecisionClock::now(), Service);
--- a/src/goldcrestnotch/roster/roster.hpp
+++ b/src/goldcrestnotch/roster/roster.hpp
@@ -61,6 +61,8 @@
     return Count;
   }
 
+  /// @brief How long VMs may be silent has changed.
+  void update(Millis Given) noexcept { Silence = Given; }
   /// @brief A record of a VM was read.
   void observe(Instant Now, const escrow::HolderName &Name,
                const escrow::HolderRecord &Record) {
--- a/test/goldcrestnotch/backend/placement_hints_test.cpp
+++ b/test/goldcrestnotch/backend/placement_hints_test.cpp
@@ -17,7 +17,7 @@
     for (const auto *Name : {"a", "b"}) {
       Known.emplace({TargetId{Name},
                      Engines,
-                     {"127.0.0.1", 1},
+                     {"127.0.0.1", static_cast<std::uint16_t>(Name[0])},
                      DomainId{"near"},
                      VersionId{"v1"},
                      64,
--- a/test/goldcrestnotch/backend/target_set_test.cpp
+++ b/test/goldcrestnotch/backend/target_set_test.cpp
@@ -12,8 +12,16 @@
 const ServiceId Engines{"engines"};
 
 Registration told(const char *Name, bool Leaving = false) {
-  return {TargetId{Name},  Engines, {"127.0.0.1", 1}, DomainId{"far"},
-          VersionId{"v1"}, 8,       Leaving,          1};
+  Registration Result;
+  Result.Name = TargetId{Name};
+  Result.Serves = Engines;
+  Result.Where = {"127.0.0.1", static_cast<std::uint16_t>(Name[0])};
+  Result.Domain = DomainId{"far"};
+  Result.Version = VersionId{"v1"};
+  Result.Capacity = 8;
+  Result.Leaving = Leaving;
+  Result.Incarnation = 1;
+  return Result;
 }
 
 class TargetSetTest : public testing::Test {
@@ -103,6 +111,19 @@
   EXPECT_EQ(Known.find(TargetId{"a"})->InProgress, 0);
 }
 
+// A target that had restarted under another name got requests for its
+// predecessor, which it refused.
+TEST_F(TargetSetTest, TargetAtTheSameAddressReplacesTheOneBefore) {
+  auto Next = told("d");
+  Next.Where = told("a").Where;
+  Next.Incarnation = 2;
+  Known.emplace(Next);
+  EXPECT_FALSE(Known.find(TargetId{"a"}));
+  EXPECT_TRUE(Known.find(TargetId{"d"}));
+  Known.emplace(told("a"));
+  EXPECT_TRUE(Known.find(TargetId{"d"}));
+}
+
 TEST_F(TargetSetTest, AddressOfAnotherServiceIsNotOffered) {
   auto Again = told("a");
   Again.Serves = ServiceId{"desk"};
