Hold tokens ahead on eight VMs a workspace; the others borrow

Sixty parts of 7.5 s of demand are each smaller than one request; with homes a workspace has eight writers and eight parts. Model test with 30 VMs.

--- a/bench/model/escrow_fleet.hpp
+++ b/bench/model/escrow_fleet.hpp
@@ -188,12 +188,16 @@
     std::deque<Flight> Flights;
     Instant KeepAt{};
     Instant AwakeAt{};
+    bool Home = true;
   };
 
   std::unique_ptr<Vm> boot(int Number) {
-    return std::make_unique<Vm>(
+    auto Fresh = std::make_unique<Vm>(
         Log, escrow::HolderName{"vm" + std::to_string(Number),
                                 std::to_string(++Boots)});
+    Fresh->Home =
+        static_cast<std::size_t>(Number) < Fresh->Held.sizing().Homes;
+    return Fresh;
   }
 
   double draw() { return std::uniform_real_distribution<double>{0, 1}(Random); }
@@ -238,7 +242,7 @@
         One.Keep.step(
             Yield, Now,
             [this](const WorkspaceId &) { return Tokens{Out.Budget}; }, {Name},
-            Vms.size());
+            Vms.size(), [&One](const WorkspaceId &) { return One.Home; });
       } catch (const store::StoreError &) {
         // As in the daemon: the next step finds out what became of it.
       }
@@ -256,6 +260,9 @@
       borrow(One, Bound);
       Got = One.Held.reserve(Now, One.Known, Name, Tokens{Out.Budget}, Bound);
     }
+    if (Got == escrow::Admission::Short) {
+      One.Held.want(Now, Name, Bound);
+    }
     if (Got != escrow::Admission::Admitted) {
       const bool Left = Out.Budget - Out.Spent >= Bound.count();
       Out.FalseExhausted += Left && Got == escrow::Admission::Exhausted;
--- a/src/goldcrestnotch/escrow/gate.hpp
+++ b/src/goldcrestnotch/escrow/gate.hpp
@@ -17,9 +17,11 @@
 class Gate {
 public:
   /// @param Hurry Asks for a write to the store soon.
+  /// @param Home Whether this VM holds tokens of a workspace ahead.
   Gate(boost::asio::io_context &Loop, Book &Known, Holder &Held,
-       std::function<void()> Hurry)
-      : Known{Known}, Held{Held}, News{Loop}, Hurry{std::move(Hurry)} {
+       std::function<void()> Hurry, IsHome Home)
+      : Known{Known}, Held{Held}, News{Loop}, Hurry{std::move(Hurry)},
+        Home{std::move(Home)} {
     News.expires_at(boost::asio::steady_timer::time_point::max());
   }
 
@@ -32,17 +34,23 @@
     const auto Reserve = [&] {
       return Held.reserve(DecisionClock::now(), Known, Name, Budget, Bound);
     };
+    const auto Ask = [&] {
+      Held.want(DecisionClock::now(), Name, Bound);
+      Hurry();
+    };
     auto Result = Reserve();
-    if (Result != Admission::Short) {
-      return Result;
+    if (Result == Admission::Short && Home(Name)) {
+      Ask();
+      awaitNews(Yield, std::min(Until, DecisionClock::now() + StoreWait));
+      Result = Reserve();
     }
-    Hurry();
-    awaitNews(Yield, std::min(Until, DecisionClock::now() + StoreWait));
-    Result = Reserve();
     if (Result == Admission::Short && Borrow) {
       Borrow(Yield, Name, Bound);
       Result = Reserve();
     }
+    if (Result == Admission::Short) {
+      Ask();
+    }
     while (Result == Admission::Short && DecisionClock::now() < Until) {
       awaitNews(Yield, Until);
       Result = Reserve();
@@ -85,6 +93,7 @@
   Holder &Held;
   boost::asio::steady_timer News;
   std::function<void()> Hurry;
+  IsHome Home;
   std::function<void(boost::asio::yield_context, const WorkspaceId &, Tokens)>
       Borrow;
 };
--- a/src/goldcrestnotch/escrow/holder.cpp
+++ b/src/goldcrestnotch/escrow/holder.cpp
@@ -93,10 +93,14 @@
   if (Budget - (All.Spent - All.Doubt) - Unreported < Bound) {
     return Admission::Exhausted;
   }
+  return Admission::Short;
+}
+
+void Holder::want(Instant Now, const WorkspaceId &Name, Tokens Bound) {
+  auto &At = Desks[Name];
   At.Wanted = std::max(At.Wanted, Bound);
   At.WantDeadline = Now + Size.WantFor;
   Urgent = true;
-  return Admission::Short;
 }
 
 Tokens Holder::borrowing(Instant Now, const WorkspaceId &Name,
@@ -111,13 +115,16 @@
 Tokens Holder::lend(Instant Now, const WorkspaceId &Name, Tokens Wanted) {
   auto &At = Desks[Name];
   const Tokens Keep{static_cast<std::int64_t>(
-      (Leaving ? 0.0 : rate(At, Now)) * internal::seconds(Size.LendKeep))};
+      (Leaving || Concentrated ? 0.0 : rate(At, Now)) * internal::seconds(Size.LendKeep))};
   const Tokens Given =
       std::min(Wanted, std::max(available(Name) - Keep, Tokens{}));
   const Tokens Onward = std::min(At.Borrowed, Given);
   At.Borrowed -= Onward;
   At.Spent += Given - Onward;
   At.Doubt += Given - Onward;
+  if (Concentrated) {
+    note(At, Now, Given); // A home holds for what others ask of it, too.
+  }
   return Given;
 }
 
@@ -170,15 +177,18 @@
 }
 
 Account Holder::next(Instant Now, const Desk &At, const Totals &All,
-                     Tokens Budget, Tokens Own, std::size_t Vms) const {
+                     Tokens Budget, Tokens Own, std::size_t Vms,
+                     bool Home) const {
   Account Result;
   Result.Spent = At.Spent;
   Result.Doubt = At.Doubt;
-  Result.Rate = Tokens{static_cast<std::int64_t>(rate(At, Now))};
+  Result.Rate =
+      Tokens{Home ? static_cast<std::int64_t>(rate(At, Now)) : 0};
   Result.Drawn = Own;
   const Tokens Free = Budget - All.Drawn;
-  const Tokens Held = Own - At.Spent;
-  const Tokens Target = target(Now, At, All, Budget, Own - At.Spent, Vms);
+  const Tokens Held = Own + At.Borrowed - At.Spent;
+  const Tokens Target =
+      Home ? target(Now, At, All, Budget, Own - At.Spent, Vms) : At.Reserved;
   const Tokens Need = Leaving ? Tokens{} : At.Wanted;
   const Tokens Goal = std::max(Target, At.Reserved + Need);
   const bool OthersWant = All.Wanted > Tokens{};
@@ -190,9 +200,11 @@
     const Tokens Keep = OthersWant || Leaving || Free < Tokens{}
                             ? Goal
                             : Goal * internal::SurplusPercent / 100;
-    Result.Drawn -= std::max(Held - Keep, Tokens{});
+    const Tokens Surplus = std::max(Held - Keep, Tokens{});
+    Result.Drawn -= std::min(Surplus, Own - At.Spent); // Not what is borrowed.
   }
-  const Tokens Gets = Result.Drawn - At.Spent - At.Reserved;
+  const Tokens Gets =
+      Result.Drawn + At.Borrowed - At.Spent - At.Reserved;
   Result.Wanted = Need > Gets ? Need - Gets : Tokens{};
   return Result;
 }
@@ -200,8 +212,9 @@
 Proposal Holder::propose(Instant Now, const Book &Source,
                          const BudgetOf &Budgets,
                          const std::vector<WorkspaceId> &Names,
-                         std::size_t Vms) {
+                         std::size_t Vms, const IsHome &Home) {
   Proposal Result;
+  Concentrated = Vms > Size.Homes;
   inherit(Source, Result);
   for (const auto &Name : Names) {
     Desks.try_emplace(Name);
@@ -229,7 +242,8 @@
     // A workspace that has left the configuration keeps what it has.
     const Tokens Budget = Budgets(Name).value_or(All.Drawn);
     Result.Record.Accounts[Name] =
-        next(Now, With, All, Budget, Before.Drawn + Past.Drawn, Vms);
+        next(Now, With, All, Budget, Before.Drawn + Past.Drawn,
+             std::min(Vms, Size.Homes), !Concentrated || Home(Name));
   }
   return Result;
 }
--- a/src/goldcrestnotch/escrow/holder.hpp
+++ b/src/goldcrestnotch/escrow/holder.hpp
@@ -39,6 +39,9 @@
   Millis LendKeep{1'000};
   /// A VM that borrows asks for its demand of this span.
   Millis BorrowAhead{2'000};
+  /// VMs that hold tokens of one workspace ahead; the others borrow from them.
+  /// With more, each would hold less than a single request may take.
+  std::size_t Homes = 8;
   /// A want ends after this.
   Millis WantFor{1'000};
   /// At most this part of what is left, split by demand, in hundredths.
@@ -58,6 +61,9 @@
   std::map<WorkspaceId, Legacy> Inherited; ///< From those, in the record.
 };
 
+/// Whether this VM holds tokens of a workspace ahead.
+using IsHome = std::function<bool(const WorkspaceId &)>;
+
 /// Gives the budget of a workspace; nothing if it has no limit.
 using BudgetOf = std::function<std::optional<Tokens>(const WorkspaceId &)>;
 
@@ -74,10 +80,15 @@
   /// @brief Whether a request waits for tokens that a write could bring.
   [[nodiscard]] bool urgent() const noexcept { return Urgent; }
 
+  [[nodiscard]] const Sizing &sizing() const noexcept { return Size; }
+
   /// @brief Reserves the most that a request can spend.
   [[nodiscard]] Admission reserve(Instant Now, const Book &Source,
                                   const WorkspaceId &Name, Tokens Budget,
                                   Tokens Bound);
+  /// @brief A request waits for a bound that fell short: the next record asks
+  /// for it.
+  void want(Instant Now, const WorkspaceId &Name, Tokens Bound);
   /// @brief What to ask another VM for when a bound falls short.
   [[nodiscard]] Tokens borrowing(Instant Now, const WorkspaceId &Name,
                                  Tokens Bound) const;
@@ -98,7 +109,7 @@
   [[nodiscard]] Proposal propose(Instant Now, const Book &Source,
                                  const BudgetOf &Budgets,
                                  const std::vector<WorkspaceId> &Names,
-                                 std::size_t Vms);
+                                 std::size_t Vms, const IsHome &Home);
   /// @brief Whether a proposal says anything that others have to know soon.
   [[nodiscard]] bool matters(const Proposal &Next) const;
 
@@ -135,7 +146,8 @@
   [[nodiscard]] Tokens target(Instant Now, const Desk &At, const Totals &All,
                               Tokens Budget, Tokens Own, std::size_t Vms) const;
   [[nodiscard]] Account next(Instant Now, const Desk &At, const Totals &All,
-                             Tokens Budget, Tokens Own, std::size_t Vms) const;
+                             Tokens Budget, Tokens Own, std::size_t Vms,
+                             bool Home) const;
   void inherit(const Book &Source, Proposal &Into) const;
 
   HolderName Self;
@@ -146,6 +158,7 @@
   std::uint64_t LastSequence = 0;
   bool Urgent = false;
   bool Leaving = false;
+  bool Concentrated = false; ///< There are more VMs than homes.
 };
 
 } // namespace goldcrestnotch::escrow
--- a/src/goldcrestnotch/escrow/keeper.hpp
+++ b/src/goldcrestnotch/escrow/keeper.hpp
@@ -61,11 +61,11 @@
   /// @throws store::StoreError
   void step(boost::asio::yield_context Yield, Instant Now,
             const BudgetOf &Budgets, const std::vector<WorkspaceId> &Names,
-            std::size_t Vms) {
+            std::size_t Vms, const IsHome &Home) {
     for (int Try = 0; Try < MostTries; ++Try) {
       Feed.poll(Yield, Millis{0});
       resolve();
-      auto Next = Held.propose(Now, Known, Budgets, Names, Vms);
+      auto Next = Held.propose(Now, Known, Budgets, Names, Vms, Home);
       Next.Record.Entry = Terms.Entry;
       Next.Record.Control = Terms.Control;
       Next.Record.Moves = Moves;
--- a/src/goldcrestnotch/escrow/loans.cpp
+++ b/src/goldcrestnotch/escrow/loans.cpp
@@ -7,6 +7,7 @@
 #include <charconv>
 
 #include "goldcrestnotch/core/error.hpp"
+#include "goldcrestnotch/core/hash.hpp"
 #include "goldcrestnotch/http/client.hpp"
 #include "goldcrestnotch/telemetry/log.hpp"
 
@@ -31,6 +32,29 @@
 
 } // namespace internal
 
+std::vector<std::string> Loans::homes(const WorkspaceId &Name) const {
+  std::vector<std::pair<std::uint64_t, std::string>> Ranked;
+  for (const auto &[Holder, Entry] : Known.entries()) {
+    if (Entry.Record && !Entry.Record->Leaving) {
+      Ranked.emplace_back(rendezvous(Name.str(), Holder.Vm), Holder.Vm);
+    }
+  }
+  std::sort(Ranked.rbegin(), Ranked.rend());
+  Ranked.resize(std::min(Ranked.size(), Held.sizing().Homes));
+  std::vector<std::string> Result;
+  Result.reserve(Ranked.size());
+  for (auto &[Score, Vm] : Ranked) {
+    Result.push_back(std::move(Vm));
+  }
+  return Result;
+}
+
+bool Loans::home(const WorkspaceId &Name) const {
+  const auto Homes = homes(Name);
+  return Homes.size() < Held.sizing().Homes ||
+         std::find(Homes.begin(), Homes.end(), Held.name().Vm) != Homes.end();
+}
+
 std::vector<std::string> Loans::lenders(const WorkspaceId &Name) const {
   std::vector<std::pair<Tokens, std::string>> Found;
   for (const auto &[Holder, Entry] : Known.entries()) {
--- a/src/goldcrestnotch/escrow/loans.hpp
+++ b/src/goldcrestnotch/escrow/loans.hpp
@@ -29,6 +29,11 @@
   Loans(const Book &Known, Holder &Held, Metrics &Measured)
       : Known{Known}, Held{Held}, Measured{Measured} {}
 
+  /// @brief The VMs that hold tokens of a workspace ahead, of all in the book
+  /// and this one, by hash: all VMs find the same ones.
+  [[nodiscard]] std::vector<std::string> homes(const WorkspaceId &Name) const;
+  /// @brief Whether this VM is one of them.
+  [[nodiscard]] bool home(const WorkspaceId &Name) const;
   /// @brief Other VMs, those that seem to hold most of a budget first.
   [[nodiscard]] std::vector<std::string> lenders(const WorkspaceId &Name) const;
 
--- a/test/model/escrow_fleet_test.cpp
+++ b/test/model/escrow_fleet_test.cpp
@@ -30,6 +30,25 @@
   }
 }
 
+TEST(EscrowFleet, ManyVmsBorrowFromTheHomes) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    auto Plan = troubled(Seed);
+    Plan.Vms = 30;
+    Plan.RequestsPerStep = 0.05;
+    Plan.Length = Millis{15'000};
+    EXPECT_EQ(playEscrow(Plan).MostOver, 0) << "seed " << Seed;
+    EscrowPlan Quiet;
+    Quiet.Seed = Seed;
+    Quiet.Vms = 30;
+    Quiet.Budget = 2'000'000;
+    Quiet.RequestsPerStep = 0.05;
+    Quiet.Length = Millis{15'000};
+    const auto Result = playEscrow(Quiet);
+    EXPECT_EQ(Result.MostOver, 0) << "seed " << Seed;
+    EXPECT_LE(Result.FalseShort, Result.Requests / 100) << "seed " << Seed;
+  }
+}
+
 TEST(EscrowFleet, UsesTheWholeBudgetOnQuietDays) {
   for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
     EscrowPlan Plan;
