--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -7,4 +7,4 @@
 cmake --preset sanitize >/dev/null
 cmake --build --preset sanitize --target unit_tests | tail -1
 export ASAN_OPTIONS=detect_leaks=0
-build-sanitize/test/unit_tests --gtest_filter='-MoveFleet.*:LedgerFleet.*:ClaimFleet.*' --gtest_brief=1
+build-sanitize/test/unit_tests --gtest_filter='-MoveFleet.*:LedgerFleet.*:ClaimFleet.*:EscrowFleet.*' --gtest_brief=1
--- a/src/goldcrestnotch/backend/retry_budget.hpp
+++ b/src/goldcrestnotch/backend/retry_budget.hpp
@@ -16,8 +16,8 @@
 
 /// @brief The bound over all VMs.
 struct RetryTerms {
-  double Ratio = 0.2;   ///< Repeats for each request of a window.
-  double Slack = 10;    ///< Repeats besides.
+  double Ratio = 0.2; ///< Repeats for each request of a window.
+  double Slack = 10;  ///< Repeats besides.
   Millis Window{10'000};
 };
 
@@ -31,9 +31,9 @@
     auto &At = Counts[To];
     trim(Now, At);
     const double Share = Terms.Slack * SlackShare / Vms;
-    const double Bound = Terms.Ratio * RatioShare *
-                             static_cast<double>(At.Requests.size()) +
-                         Share;
+    const double Bound =
+        Terms.Ratio * RatioShare * static_cast<double>(At.Requests.size()) +
+        Share;
     return static_cast<double>(At.Repeats.size()) + 1 <= Bound;
   }
 
--- a/src/goldcrestnotch/escrow/holder.cpp
+++ b/src/goldcrestnotch/escrow/holder.cpp
@@ -115,7 +115,8 @@
 Tokens Holder::lend(Instant Now, const WorkspaceId &Name, Tokens Wanted) {
   auto &At = Desks[Name];
   const Tokens Keep{static_cast<std::int64_t>(
-      (Leaving || Concentrated ? 0.0 : rate(At, Now)) * internal::seconds(Size.LendKeep))};
+      (Leaving || Concentrated ? 0.0 : rate(At, Now)) *
+      internal::seconds(Size.LendKeep))};
   const Tokens Given =
       std::min(Wanted, std::max(available(Name) - Keep, Tokens{}));
   const Tokens Onward = std::min(At.Borrowed, Given);
@@ -182,8 +183,7 @@
   Account Result;
   Result.Spent = At.Spent;
   Result.Doubt = At.Doubt;
-  Result.Rate =
-      Tokens{Home ? static_cast<std::int64_t>(rate(At, Now)) : 0};
+  Result.Rate = Tokens{Home ? static_cast<std::int64_t>(rate(At, Now)) : 0};
   Result.Drawn = Own;
   const Tokens Free = Budget - All.Drawn;
   const Tokens Held = Own + At.Borrowed - At.Spent;
@@ -203,16 +203,15 @@
     const Tokens Surplus = std::max(Held - Keep, Tokens{});
     Result.Drawn -= std::min(Surplus, Own - At.Spent); // Not what is borrowed.
   }
-  const Tokens Gets =
-      Result.Drawn + At.Borrowed - At.Spent - At.Reserved;
+  const Tokens Gets = Result.Drawn + At.Borrowed - At.Spent - At.Reserved;
   Result.Wanted = Need > Gets ? Need - Gets : Tokens{};
   return Result;
 }
 
 Proposal Holder::propose(Instant Now, const Book &Source,
                          const BudgetOf &Budgets,
-                         const std::vector<WorkspaceId> &Names,
-                         std::size_t Vms, const IsHome &Home) {
+                         const std::vector<WorkspaceId> &Names, std::size_t Vms,
+                         const IsHome &Home) {
   Proposal Result;
   Concentrated = Vms > Size.Homes;
   inherit(Source, Result);
--- a/src/goldcrestnotch/proxy/caller_link.cpp
+++ b/src/goldcrestnotch/proxy/caller_link.cpp
@@ -48,8 +48,8 @@
     return ReadEnd::BodyTooLarge;
   }
   const bool FromParser =
-      Failure.category() == wire::make_error_code(wire::error::bad_method)
-                                .category() &&
+      Failure.category() ==
+          wire::make_error_code(wire::error::bad_method).category() &&
       Failure != wire::error::end_of_stream &&
       Failure != wire::error::partial_message;
   return FromParser ? ReadEnd::Malformed : ReadEnd::Closed;
@@ -108,7 +108,8 @@
         Self->Socket.socket().non_blocking(true, Peek);
         const auto Count = Self->Socket.socket().receive(
             asio::buffer(&Byte, 1), tcp::socket::message_peek, Peek);
-        const bool Closed = Peek ? Peek != asio::error::would_block : Count == 0;
+        const bool Closed =
+            Peek ? Peek != asio::error::would_block : Count == 0;
         if (Closed && Self->OnGone) {
           Self->Gone = true;
           Self->OnGone();
--- a/src/goldcrestnotch/proxy/link.hpp
+++ b/src/goldcrestnotch/proxy/link.hpp
@@ -19,8 +19,9 @@
 namespace goldcrestnotch::proxy {
 
 /// A TCP stream of the traffic thread.
-using Stream = boost::beast::basic_stream<boost::asio::ip::tcp,
-                                          boost::asio::io_context::executor_type>;
+using Stream =
+    boost::beast::basic_stream<boost::asio::ip::tcp,
+                               boost::asio::io_context::executor_type>;
 
 /// @brief The form in which sockets take deadlines.
 [[nodiscard]] inline std::chrono::steady_clock::time_point
--- a/src/goldcrestnotch/proxy/listener.cpp
+++ b/src/goldcrestnotch/proxy/listener.cpp
@@ -74,8 +74,8 @@
   try {
     while (From->keeps()) {
       const auto Table = Shared.Table;
-      const auto End = From->read(
-          Yield, Table ? Table->source().Limits : Unconfigured);
+      const auto End =
+          From->read(Yield, Table ? Table->source().Limits : Unconfigured);
       if (End != ReadEnd::Whole) {
         reject(*From, End, Yield);
         break;
--- a/src/goldcrestnotch/store/log.hpp
+++ b/src/goldcrestnotch/store/log.hpp
@@ -32,7 +32,7 @@
 
 /// @brief Records from an offset on.
 struct ReadResult {
-  bool Trimmed = false; ///< The offset asked for is gone; nothing was read.
+  bool Trimmed = false;   ///< The offset asked for is gone; nothing was read.
   std::uint64_t Next = 0; ///< Where to read on.
   std::vector<Record> Records;
 };
--- a/src/goldcrestnotch/stream/event_framer.hpp
+++ b/src/goldcrestnotch/stream/event_framer.hpp
@@ -12,10 +12,10 @@
 
 /// @brief Whole events taken from a stream.
 struct EventRun {
-  std::string Bytes;         ///< As they came, each with its blank line.
-  std::uint64_t Count = 0;   ///< Events that carry an id.
-  std::uint64_t LastId = 0;  ///< Of the last of these; zero if none.
-  bool Gap = false;          ///< An id did not follow the one before.
+  std::string Bytes;        ///< As they came, each with its blank line.
+  std::uint64_t Count = 0;  ///< Events that carry an id.
+  std::uint64_t LastId = 0; ///< Of the last of these; zero if none.
+  bool Gap = false;         ///< An id did not follow the one before.
 };
 
 /// @brief Holds back the part of an event that is not complete.
