--- a/app/goldcrestnotchd/main.cpp
+++ b/app/goldcrestnotchd/main.cpp
@@ -3,9 +3,7 @@
 
 #include <chrono>
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <string>
 
 #include <boost/program_options.hpp>
@@ -34,16 +32,6 @@
   return Options;
 }
 
-std::string readFile(const std::string &Name) {
-  const std::ifstream In{Name};
-  if (!In) {
-    throw SettingsError{{Name + ": cannot be read"}};
-  }
-  std::ostringstream Text;
-  Text << In.rdbuf();
-  return Text.str();
-}
-
 /// A later start has a greater number: the clock in milliseconds.
 std::uint64_t newIncarnation() {
   const auto Since = std::chrono::system_clock::now().time_since_epoch();
@@ -84,7 +72,7 @@
     return ExitUsage;
   }
   const auto Name = Chosen["config"].as<std::string>();
-  const auto Given = Settings::parse(readFile(Name), Name);
+  const auto Given = Settings::parse(readSettings(Name), Name);
   if (Chosen.contains("check")) {
     std::cout << Name << ": the settings are good\n";
     return 0;
--- a/src/goldcrestnotch/backend/target.hpp
+++ b/src/goldcrestnotch/backend/target.hpp
@@ -28,13 +28,12 @@
 
 /// @brief A target with this VM's view of it.
 ///
-/// Invariant: `InProgress` and `TokensInProgress` are what this VM has sent
-/// there and not seen end; they outlive a change of the registration.
+/// Invariant: `InProgress` is what this VM has sent there and not seen end; it
+/// outlives a change of the registration.
 struct Target {
   Registration Told;
   Instant DropDeadline = Instant::max(); ///< When a missing one is dropped.
   std::int64_t InProgress = 0;
-  std::int64_t TokensInProgress = 0;
   Instant ReadDeadline{};     ///< When all prompts sent to it should be read.
   std::uint32_t Failures = 0; ///< In a row.
   Instant PauseDeadline{};    ///< Until then others go first.
--- a/src/goldcrestnotch/backend/target_set.cpp
+++ b/src/goldcrestnotch/backend/target_set.cpp
@@ -99,17 +99,6 @@
   return cost(Now, *Affine) <= BestCost + Worth && !Crowded ? Affine : Best;
 }
 
-std::int64_t TargetSet::inProgress(const ServiceId &Name) const {
-  const auto At = Rows.find(Name);
-  std::int64_t Sum = 0;
-  if (At != Rows.end()) {
-    for (const auto &One : At->second) {
-      Sum += One->InProgress;
-    }
-  }
-  return Sum;
-}
-
 void TargetSet::dropPredecessor(const Registration &Told) {
   auto &Last = Places[Told.Where];
   const auto Before = find(Last);
--- a/src/goldcrestnotch/backend/target_set.hpp
+++ b/src/goldcrestnotch/backend/target_set.hpp
@@ -70,8 +70,6 @@
   /// @return Null if the service has none that takes work.
   [[nodiscard]] std::shared_ptr<Target> pick(Instant Now,
                                              const Wish &Wanted) const;
-  /// @brief Requests of this VM in progress at a service.
-  [[nodiscard]] std::int64_t inProgress(const ServiceId &Name) const;
 
   /// @brief Takes a registration in. Whatever else stood at its address with
   /// an earlier start has ended and is dropped at once.
--- a/src/goldcrestnotch/proxy/link.cpp
+++ b/src/goldcrestnotch/proxy/link.cpp
@@ -76,7 +76,6 @@
 
 void LinkPool::put(const backend::Registration &To,
                    std::shared_ptr<Link> Kept) {
-  Kept->Used = true;
   Kept->Socket.expires_never();
   auto &Row = Idle[{To.Name, To.Incarnation}];
   Row.push_back(std::move(Kept));
--- a/src/goldcrestnotch/proxy/link.hpp
+++ b/src/goldcrestnotch/proxy/link.hpp
@@ -40,7 +40,6 @@
   Stream Socket;
   boost::beast::flat_buffer Buffer;
   Instant ReuseDeadline{}; ///< The target may close it from then on.
-  bool Used = false;       ///< Whether it has carried a request before.
 };
 
 /// @brief Idle connections by target.
--- a/src/goldcrestnotch/settings/settings.cpp
+++ b/src/goldcrestnotch/settings/settings.cpp
@@ -4,6 +4,7 @@
 #include "goldcrestnotch/settings/settings.hpp"
 
 #include <algorithm>
+#include <fstream>
 #include <limits>
 #include <map>
 #include <set>
@@ -248,4 +249,14 @@
   return Result;
 }
 
+std::string readSettings(const std::string &Name) {
+  const std::ifstream In{Name};
+  if (!In) {
+    throw SettingsError{{Name + ": cannot be read"}};
+  }
+  std::ostringstream Text;
+  Text << In.rdbuf();
+  return Text.str();
+}
+
 } // namespace goldcrestnotch
--- a/src/goldcrestnotch/settings/settings.hpp
+++ b/src/goldcrestnotch/settings/settings.hpp
@@ -55,6 +55,10 @@
                                       const std::string &Name);
 };
 
+/// @brief The text of a settings file.
+/// @throws SettingsError if it can't be read.
+[[nodiscard]] std::string readSettings(const std::string &Name);
+
 /// @brief All that is wrong with a settings file.
 class SettingsError : public std::runtime_error {
 public:
--- a/test/goldcrestnotch/backend/placement_hints_test.cpp
+++ b/test/goldcrestnotch/backend/placement_hints_test.cpp
@@ -25,7 +25,7 @@
                      1});
     }
   }
-  std::string pick(Instant Now, const Wish &Wanted) const {
+  [[nodiscard]] std::string pick(Instant Now, const Wish &Wanted) const {
     return Known.pick(Now, Wanted)->Told.Name.str();
   }
   TargetSet Known{DomainId{"near"}};
--- a/test/goldcrestnotch/backend/target_set_test.cpp
+++ b/test/goldcrestnotch/backend/target_set_test.cpp
@@ -32,7 +32,8 @@
     }
   }
 
-  std::string pick(Instant Now, Wish Wanted = {Engines, {}, {}, 0, 0}) const {
+  [[nodiscard]] std::string pick(Instant Now,
+                                 Wish Wanted = {Engines, {}, {}, 0, 0}) const {
     const auto Found = Known.pick(Now, Wanted);
     return Found ? Found->Told.Name.str() : "";
   }
