Take no request in the last part of a shutdown

Ruled out: streams that ran at the signal (all ended in time).

A test with a real daemon fails without the change.

--- a/src/goldcrestnotch/proxy/environment.hpp
+++ b/src/goldcrestnotch/proxy/environment.hpp
@@ -34,6 +34,7 @@
   std::shared_ptr<const routing::RouteTable>
       Table; ///< Null until one is known.
   bool Draining = false;
+  bool Closing = false;       ///< New requests are refused; implies `Draining`.
   std::size_t InProgress = 0; ///< Exchanges whose request has been read.
   std::map<routing::ServiceId, Shift> Moves; ///< The last of each service.
   /// Tells other VMs that a target gets a prompt; may be empty.
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -227,6 +227,10 @@
 
 bool Exchange::route() {
   const auto &Asked = From.request();
+  if (Shared.Closing) {
+    refuse(503, "shutting_down", comeBack());
+    return false;
+  }
   if (!Table) {
     refuse(503, "no_configuration", comeBack());
     return false;
--- a/src/goldcrestnotch/proxy/listener.cpp
+++ b/src/goldcrestnotch/proxy/listener.cpp
@@ -44,9 +44,14 @@
               [this](asio::yield_context Yield) { accept(Yield); });
 }
 
+void Listener::close() {
+  boost::system::error_code Ignored; // It is not used again either way.
+  Acceptor.close(Ignored);
+}
+
 void Listener::accept(asio::yield_context Yield) {
   asio::steady_timer Pause{Shared.Loop};
-  while (true) {
+  while (Acceptor.is_open()) {
     auto From = std::make_shared<CallerLink>(Shared.Loop);
     boost::system::error_code Failure;
     if (Connections < MostConnections) {
--- a/src/goldcrestnotch/proxy/listener.hpp
+++ b/src/goldcrestnotch/proxy/listener.hpp
@@ -25,6 +25,8 @@
            std::size_t MostConnections);
 
   void start();
+  /// @brief Takes no more connections; those that are open go on.
+  void close();
 
 private:
   void accept(boost::asio::yield_context Yield);
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -271,6 +271,22 @@
   EXPECT_EQ(All.daemon().wait(4'000), 0);
 }
 
+// Requests taken over 3 s after the signal were cut off at the limit: streams
+// of 3 s, begun 4.3 s after it, with 8 s in all.
+TEST(Platform, ShutdownTakesNothingThatMayNotEnd) {
+  Fleet All{1};
+  ASSERT_TRUE(All.ready());
+  All.engine(0).EventMs = 500;
+  auto Running = std::async(std::launch::async, [&] { return All.call(Chat); });
+  ASSERT_TRUE(All.eventually([&] { return All.runs() == 1; }));
+  All.daemon().signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds{1'700});
+  const auto Late = All.call(Order);
+  EXPECT_TRUE(Late.Status == 0 || Late.Status == 503) << Late.Status;
+  EXPECT_EQ(All.runs(), 1U);
+  EXPECT_EQ(Running.get().Body, WholeStream);
+}
+
 TEST(Platform, DirectoryNamesTheVmsThatTakeCallers) {
   Fleet All{1, 2};
   const std::string Path =
