Write a version's counts in one place; drop a function that nothing called

No behaviour changes: 148 unit tests and 25 with real daemons pass, lint and format clean on what changed.

--- a/src/goldcrestnotch/backend/target_set.cpp
+++ b/src/goldcrestnotch/backend/target_set.cpp
@@ -179,14 +179,4 @@
   });
 }
 
-void TargetSet::keepOnly(Instant Now,
-                         const std::function<bool(const TargetId &)> &Keep,
-                         bool Outage) {
-  for (const auto &[Name, One] : Targets) {
-    if (!Keep(Name)) {
-      erase(Now, Name, Outage);
-    }
-  }
-}
-
 } // namespace goldcrestnotch::backend
--- a/src/goldcrestnotch/backend/target_set.hpp
+++ b/src/goldcrestnotch/backend/target_set.hpp
@@ -5,7 +5,6 @@
 
 #pragma once
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <string_view>
@@ -88,9 +87,6 @@
   void learn(std::int64_t Size, Millis Took);
   /// @brief Drops for good what vanished long enough ago.
   void expire(Instant Now);
-  /// @brief Forgets all registrations not in a list of names, as if erased.
-  void keepOnly(Instant Now, const std::function<bool(const TargetId &)> &Keep,
-                bool Outage);
 
 private:
   using Row = std::vector<std::shared_ptr<Target>>;
--- a/src/goldcrestnotch/escrow/record.cpp
+++ b/src/goldcrestnotch/escrow/record.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "goldcrestnotch/rollout/counts_codec.hpp"
+
 namespace goldcrestnotch::escrow {
 
 using nlohmann::json;
@@ -18,19 +20,6 @@
                     std::string{Text.substr(Slash + 1)}};
 }
 
-namespace internal {
-
-[[nodiscard]] static json countsJson(const VersionCounts &Source) {
-  return {Source.Requests, Source.Failed, Source.Slow};
-}
-
-[[nodiscard]] static VersionCounts countsOf(const json &From) {
-  return {From.at(0).get<std::uint64_t>(), From.at(1).get<std::uint64_t>(),
-          From.at(2).get<std::uint64_t>()};
-}
-
-} // namespace internal
-
 std::string encode(const HolderRecord &Source) {
   json Accounts = json::object();
   for (const auto &[Name, One] : Source.Accounts) {
--- a/src/goldcrestnotch/rollout/move_book.cpp
+++ b/src/goldcrestnotch/rollout/move_book.cpp
@@ -10,6 +10,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "goldcrestnotch/rollout/counts_codec.hpp"
+
 namespace goldcrestnotch {
 
 using nlohmann::json;
@@ -211,15 +213,6 @@
 
 namespace internal {
 
-[[nodiscard]] static json countsJson(const VersionCounts &Source) {
-  return json::array({Source.Requests, Source.Failed, Source.Slow});
-}
-
-[[nodiscard]] static VersionCounts countsOf(const json &Source) {
-  return {Source.at(0).get<std::uint64_t>(), Source.at(1).get<std::uint64_t>(),
-          Source.at(2).get<std::uint64_t>()};
-}
-
 [[nodiscard]] static std::int64_t millis(LogTime When) {
   return When.time_since_epoch().count();
 }
--- a/src/goldcrestnotch/rollout/record.cpp
+++ b/src/goldcrestnotch/rollout/record.cpp
@@ -7,23 +7,12 @@
 
 #include <nlohmann/json.hpp>
 
+#include "goldcrestnotch/rollout/counts_codec.hpp"
+
 namespace goldcrestnotch {
 
 using nlohmann::json;
 
-namespace internal {
-
-[[nodiscard]] static json countsJson(const VersionCounts &Source) {
-  return json::array({Source.Requests, Source.Failed, Source.Slow});
-}
-
-[[nodiscard]] static VersionCounts countsOf(const json &Source) {
-  return {Source.at(0).get<std::uint64_t>(), Source.at(1).get<std::uint64_t>(),
-          Source.at(2).get<std::uint64_t>()};
-}
-
-} // namespace internal
-
 std::string encode(const RolloutRecord &Source) {
   if (const auto *Begun = std::get_if<MoveBegin>(&Source)) {
     return json{
