Log what a refusal for want of budget was decided on

One line a workspace and second now holds bound, available, budget, drawn, spent, in doubt, wanted and the newest record known.

--- a/src/goldcrestnotch/escrow/book.cpp
+++ b/src/goldcrestnotch/escrow/book.cpp
@@ -3,6 +3,7 @@
 
 #include "goldcrestnotch/escrow/book.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace goldcrestnotch::escrow {
@@ -52,6 +53,7 @@
     add(*Record, 1);
   }
   It->second = {Offset, std::move(Record)};
+  Newest = std::max(Newest, Offset);
 }
 
 void Book::add(const HolderRecord &Record, std::int64_t Sign) {
--- a/src/goldcrestnotch/escrow/book.hpp
+++ b/src/goldcrestnotch/escrow/book.hpp
@@ -35,6 +35,8 @@
   }
   [[nodiscard]] const HolderRecord *find(const HolderName &Name) const;
   [[nodiscard]] Totals totals(const WorkspaceId &Name) const;
+  /// @brief Offset of the newest record taken in, of whichever holder.
+  [[nodiscard]] std::uint64_t newest() const noexcept { return Newest; }
 
   /// @brief What all VMs together have seen of a move.
   [[nodiscard]] MoveEvidence evidence(const std::string &Service,
@@ -49,6 +51,7 @@
 
   std::map<HolderName, Entry> Entries;
   std::map<WorkspaceId, Totals> Sums;
+  std::uint64_t Newest = 0;
 };
 
 } // namespace goldcrestnotch::escrow
--- a/src/goldcrestnotch/escrow/gate.hpp
+++ b/src/goldcrestnotch/escrow/gate.hpp
@@ -3,13 +3,16 @@
 
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <map>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "goldcrestnotch/escrow/holder.hpp"
+#include "goldcrestnotch/telemetry/log.hpp"
 
 namespace goldcrestnotch::escrow {
 
@@ -55,6 +58,9 @@
       awaitNews(Yield, Until);
       Result = Reserve();
     }
+    if (Result != Admission::Admitted) {
+      logRefusal(Result, Name, Budget, Bound);
+    }
     return Result;
   }
 
@@ -75,6 +81,33 @@
 private:
   /// The store answers within this when it is well.
   static constexpr Millis StoreWait{30};
+  /// At most one line about refusals of a workspace in this time.
+  static constexpr Millis LinePause{1'000};
+
+  void logRefusal(Admission Result, const WorkspaceId &Name, Tokens Budget,
+                  Tokens Bound) {
+    auto &At = Lines[Name];
+    ++At.Refusals;
+    const auto Now = DecisionClock::now();
+    if (Now < At.QuietDeadline) {
+      return;
+    }
+    const auto All = Known.totals(Name);
+    log(LogLevel::Warn, "budget.refused",
+        {{"workspace", Name.str()},
+         {"exhausted", Result == Admission::Exhausted},
+         {"bound", Bound.count()},
+         {"available", Held.available(Name).count()},
+         {"budget", Budget.count()},
+         {"drawn", All.Drawn.count()},
+         {"spent", All.Spent.count()},
+         {"in_doubt", All.Doubt.count()},
+         {"wanted", All.Wanted.count()},
+         {"home", Home(Name)},
+         {"record", static_cast<std::int64_t>(Known.newest())},
+         {"refusals", static_cast<std::int64_t>(At.Refusals)}});
+    At = {Now + LinePause, 0};
+  }
 
   void awaitNews(boost::asio::yield_context Yield, Instant Until) {
     boost::asio::steady_timer Limit{News.get_executor()};
@@ -89,9 +122,15 @@
     News.async_wait(Yield[Ignored]);
   }
 
+  struct Line {
+    Instant QuietDeadline{};
+    std::uint64_t Refusals = 0; ///< Since the last line.
+  };
+
   Book &Known;
   Holder &Held;
   boost::asio::steady_timer News;
+  std::map<WorkspaceId, Line> Lines;
   std::function<void()> Hurry;
   IsHome Home;
   std::function<void(boost::asio::yield_context, const WorkspaceId &, Tokens)>
