Charge a workspace for what reached its caller

A request that may have run was charged its whole input even when its answer never began; the platform counts input once a request, with what is delivered. Ruled out: a wrong stride (the sums match), the last event's rounding. Requests whose callers leave are still charged for what was passed on.

The new test gave 402 before and 200 after.

--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -641,10 +641,14 @@
   if (Reserved == Tokens{}) {
     return;
   }
+  // A workspace pays for what reached its caller: nothing for a try whose
+  // answer never began, once for a request that was tried again.
   Tokens Spent;
-  if (State.MayHaveRun) {
+  if (EventsPassed > 0) {
     const Tokens Output{static_cast<std::int64_t>(EventsPassed) * EventTokens};
     Spent = Shape->Input + std::min(Output, Shape->MostOutput);
+  } else if (Answered / 100 == 2) {
+    Spent = Reserved; // Its events had no ids to be counted by.
   }
   Shared.Budgets.settle(Owner->Name, Reserved, Spent);
   Reserved = Tokens{};
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -76,6 +76,23 @@
   EXPECT_LE(All.runs(), static_cast<std::uint64_t>(Paid));
 }
 
+TEST(Platform, RequestWithoutAnAnswerCostsNothing) {
+  Fleet All;
+  All.publish(2, 400);
+  ASSERT_TRUE(All.ready());
+  All.engine(0).Now = All.engine(1).Now = UsersReplica::Mood::Vanishing;
+  for (int I = 0; I < 4; ++I) {
+    auto Next = Chat;
+    Next.Id = "a" + std::to_string(I);
+    EXPECT_NE(All.call(Next).Status, 200);
+  }
+  EXPECT_GE(All.runs(), 4U);
+  All.engine(0).Now = All.engine(1).Now = UsersReplica::Mood::Well;
+  auto Last = Chat;
+  Last.Id = "a9";
+  EXPECT_EQ(All.call(Last).Status, 200);
+}
+
 TEST(Platform, TopUpTakesEffect) {
   Fleet All;
   All.publish(2, 100);
