Bring holdings to their target with every record

A holding was only brought back once it stood at 1.4 times its target, though a record is written each second anyway. Now each record states the exact target, and the band around it only decides whether a record of its own is worth writing.

--- a/src/goldcrestnotch/escrow/holder.cpp
+++ b/src/goldcrestnotch/escrow/holder.cpp
@@ -11,9 +11,9 @@
 
 namespace internal {
 
-/// What is held beyond this part of the target goes back.
+/// Holding more than this part of the target is worth a record of its own.
 static constexpr std::int64_t SurplusPercent = 140;
-/// More is taken once what is held falls below this part.
+/// So is holding less than this part.
 static constexpr std::int64_t LowPercent = 90;
 
 [[nodiscard]] static Tokens accountDrawn(const HolderRecord &Record,
@@ -178,8 +178,8 @@
 }
 
 Account Holder::next(Instant Now, const Desk &At, const Totals &All,
-                     Tokens Budget, Tokens Own, std::size_t Vms,
-                     bool Home) const {
+                     Tokens Budget, Tokens Own, std::size_t Vms, bool Home,
+                     bool &Pressing) const {
   Account Result;
   Result.Spent = At.Spent;
   Result.Doubt = At.Doubt;
@@ -191,17 +191,13 @@
       Home ? target(Now, At, All, Budget, Own - At.Spent, Vms) : At.Reserved;
   const Tokens Need = Leaving ? Tokens{} : At.Wanted;
   const Tokens Goal = std::max(Target, At.Reserved + Need);
-  const bool OthersWant = All.Wanted > Tokens{};
   if (Held < Goal && Free > Tokens{}) {
-    const bool Low =
-        Held < Target * internal::LowPercent / 100 || Need > Tokens{};
-    Result.Drawn += Low ? std::min(Goal - Held, Free) : Tokens{};
+    Result.Drawn += std::min(Goal - Held, Free);
+    Pressing |= Held < Target * internal::LowPercent / 100 || Need > Tokens{};
   } else if (Held > Goal) {
-    const Tokens Keep = OthersWant || Leaving || Free < Tokens{}
-                            ? Goal
-                            : Goal * internal::SurplusPercent / 100;
-    const Tokens Surplus = std::max(Held - Keep, Tokens{});
-    Result.Drawn -= std::min(Surplus, Own - At.Spent); // Not what is borrowed.
+    Result.Drawn -= std::min(Held - Goal, Own - At.Spent); // None borrowed.
+    Pressing |= All.Wanted > Tokens{} || Leaving || Free < Tokens{} ||
+                Held > Goal * internal::SurplusPercent / 100;
   }
   const Tokens Gets = Result.Drawn + At.Borrowed - At.Spent - At.Reserved;
   Result.Wanted = Need > Gets ? Need - Gets : Tokens{};
@@ -242,18 +238,19 @@
     const Tokens Budget = Budgets(Name).value_or(All.Drawn);
     Result.Record.Accounts[Name] =
         next(Now, With, All, Budget, Before.Drawn + Past.Drawn,
-             std::min(Vms, Size.Homes), !Concentrated || Home(Name));
+             std::min(Vms, Size.Homes), !Concentrated || Home(Name),
+             Result.Pressing);
   }
   return Result;
 }
 
 bool Holder::matters(const Proposal &Next) const {
-  return !Next.Ended.empty() || Next.Record.Leaving != Confirmed.Leaving ||
+  return Next.Pressing || !Next.Ended.empty() ||
+         Next.Record.Leaving != Confirmed.Leaving ||
          std::any_of(Next.Record.Accounts.begin(), Next.Record.Accounts.end(),
                      [&](const auto &Pair) {
                        const auto It = Confirmed.Accounts.find(Pair.first);
                        return It == Confirmed.Accounts.end() ||
-                              It->second.Drawn != Pair.second.Drawn ||
                               It->second.Wanted != Pair.second.Wanted;
                      });
 }
--- a/src/goldcrestnotch/escrow/holder.hpp
+++ b/src/goldcrestnotch/escrow/holder.hpp
@@ -59,6 +59,7 @@
   HolderRecord Record;
   std::vector<HolderName> Ended; ///< Their records are dropped with it.
   std::map<WorkspaceId, Legacy> Inherited; ///< From those, in the record.
+  bool Pressing = false; ///< Far too little or too much is held.
 };
 
 /// Whether this VM holds tokens of a workspace ahead.
@@ -147,7 +148,7 @@
                               Tokens Budget, Tokens Own, std::size_t Vms) const;
   [[nodiscard]] Account next(Instant Now, const Desk &At, const Totals &All,
                              Tokens Budget, Tokens Own, std::size_t Vms,
-                             bool Home) const;
+                             bool Home, bool &Pressing) const;
   void inherit(const Book &Source, Proposal &Into) const;
 
   HolderName Self;
