Ask all that hold tokens, and not those that said they hold none

Cause: in an outage of the store the book stands still, so each shortage asked the same four VMs that had held most at its beginning, long after they had given all; a vain try for a large request kept small ones from asking for 200 ms; and requests that waited behind another's loan were not woken by it. Lenders are now ranked by their own last answers until a newer record is read, up to eight are asked, a vain try holds back only requests that lack as much.

--- a/src/goldcrestnotch/escrow/gate.hpp
+++ b/src/goldcrestnotch/escrow/gate.hpp
@@ -47,16 +47,22 @@
       awaitNews(Yield, std::min(Until, DecisionClock::now() + StoreWait));
       Result = Reserve();
     }
-    if (Result == Admission::Short && Borrow) {
-      Borrow(Yield, Name, Bound);
-      Result = Reserve();
-    }
+    const auto Lent = [&] {
+      if (Result == Admission::Short && Borrow) {
+        if (Borrow(Yield, Name, Bound)) {
+          notify(); // Others may wait for tokens of the same workspace.
+        }
+        Result = Reserve();
+      }
+    };
+    Lent();
     if (Result == Admission::Short) {
       Ask();
     }
     while (Result == Admission::Short && DecisionClock::now() < Until) {
       awaitNews(Yield, Until);
       Result = Reserve();
+      Lent();
     }
     if (Result != Admission::Admitted) {
       logRefusal(Result, Name, Budget, Bound);
@@ -64,12 +70,12 @@
     return Result;
   }
 
+  /// Asks other VMs until a bound is covered; whether any gave.
+  using AskOthers = std::function<bool(boost::asio::yield_context,
+                                       const WorkspaceId &, Tokens)>;
+
   /// @brief Says how to ask other VMs for tokens.
-  void lendBy(std::function<void(boost::asio::yield_context,
-                                 const WorkspaceId &, Tokens)>
-                  Ask) {
-    Borrow = std::move(Ask);
-  }
+  void lendBy(AskOthers Ask) { Borrow = std::move(Ask); }
 
   void settle(const WorkspaceId &Name, Tokens Bound, Tokens Spent) {
     Held.settle(Name, Bound, Spent);
@@ -133,8 +139,7 @@
   std::map<WorkspaceId, Line> Lines;
   std::function<void()> Hurry;
   IsHome Home;
-  std::function<void(boost::asio::yield_context, const WorkspaceId &, Tokens)>
-      Borrow;
+  AskOthers Borrow;
 };
 
 } // namespace goldcrestnotch::escrow
--- a/src/goldcrestnotch/escrow/loans.cpp
+++ b/src/goldcrestnotch/escrow/loans.cpp
@@ -15,14 +15,12 @@
 
 namespace internal {
 
-/// VMs asked for one shortage.
-static constexpr std::size_t MostAsked = 4;
+/// VMs asked for one shortage: as many as hold a workspace's tokens ahead.
+static constexpr std::size_t MostAsked = 8;
 /// A VM of the same region answers within this.
 static constexpr Millis AnswerWait{60};
-/// After asking in vain, nobody is asked for this long.
+/// After asking in vain, nobody is asked for as much for this long.
 static constexpr Millis VainPause{200};
-/// A VM that did not answer is left out for this long.
-static constexpr Millis SilentPause{2'000};
 
 [[nodiscard]] static std::int64_t numberOf(const std::string &Text) {
   std::int64_t Result = 0;
@@ -30,6 +28,15 @@
   return Result;
 }
 
+/// @brief Reads "given left", the body of an answer.
+[[nodiscard]] static std::pair<Tokens, Tokens>
+answerOf(const std::string &Text) {
+  const auto Gap = Text.find(' ');
+  const auto Left =
+      Gap == std::string::npos ? std::string{} : Text.substr(Gap + 1);
+  return {Tokens{numberOf(Text)}, Tokens{numberOf(Left)}};
+}
+
 } // namespace internal
 
 std::vector<std::string> Loans::homes(const WorkspaceId &Name) const {
@@ -55,66 +62,60 @@
          std::find(Homes.begin(), Homes.end(), Held.name().Vm) != Homes.end();
 }
 
-std::vector<std::string> Loans::lenders(const WorkspaceId &Name) const {
-  std::vector<std::pair<Tokens, std::string>> Found;
-  for (const auto &[Holder, Entry] : Known.entries()) {
-    if (!Entry.Record || Holder.Vm == Held.name().Vm) {
-      continue;
-    }
-    const auto It = Entry.Record->Accounts.find(Name);
-    if (It != Entry.Record->Accounts.end()) {
-      Found.emplace_back(It->second.Drawn - It->second.Spent,
-                         Entry.Record->Control);
-    }
-  }
-  std::sort(Found.rbegin(), Found.rend());
-  std::vector<std::string> Result;
-  Result.reserve(Found.size());
-  for (auto &[Tokens, Control] : Found) {
-    Result.push_back(std::move(Control));
-  }
-  return Result;
+bool Loans::vain(const WorkspaceId &Name, Tokens Short, Instant Now) const {
+  const auto It = Vain.find(Name);
+  return It != Vain.end() && Now < It->second.Deadline &&
+         Short >= It->second.Short;
 }
 
-void Loans::borrow(boost::asio::yield_context Yield, const WorkspaceId &Name,
+bool Loans::borrow(boost::asio::yield_context Yield, const WorkspaceId &Name,
                    Tokens Bound) {
-  if (DecisionClock::now() < VainDeadline[Name] ||
+  if (vain(Name, Bound - Held.available(Name), DecisionClock::now()) ||
       !Asking.insert(Name).second) {
-    return;
+    return false;
   }
+  Tokens Given;
   std::size_t Asked = 0;
-  for (const auto &Address : lenders(Name)) {
-    const auto Now = DecisionClock::now();
+  for (const auto &Address :
+       Others.rank(Known, Held.name().Vm, Name, DecisionClock::now())) {
     if (Asked == internal::MostAsked || Held.available(Name) >= Bound) {
       break;
     }
-    if (Now < SilentDeadline[Address]) {
-      continue;
-    }
     ++Asked;
-    http::Request Call;
-    Call.Method = "POST";
-    Call.Path = Path;
-    Call.Query = "workspace=" + Name.str() + "&tokens=" +
-                 std::to_string(Held.borrowing(Now, Name, Bound).count());
-    try {
-      http::Client Link{Yield, http::Endpoint::parse(Address)};
-      const auto Answer = Link.send(Call, Now + internal::AnswerWait);
-      const Tokens Given{internal::numberOf(Answer.Body)};
-      Held.borrow(Name, Given);
-      Measured.count("tokens_borrowed_total",
-                     static_cast<std::uint64_t>(Given.count()));
-    } catch (const Error &Failure) {
-      // What it gave is lost to both; it counts as spent there.
-      SilentDeadline[Address] = Now + internal::SilentPause;
-      log(LogLevel::Debug, "loan.failed",
-          {{"peer", Address}, {"cause", std::string{Failure.what()}}});
-    }
+    Given += ask(Yield, Address, Name, Bound);
   }
   if (Held.available(Name) < Bound) {
-    VainDeadline[Name] = DecisionClock::now() + internal::VainPause;
+    Vain[Name] = {Bound - Held.available(Name),
+                  DecisionClock::now() + internal::VainPause};
   }
   Asking.erase(Name);
+  return Given > Tokens{};
+}
+
+Tokens Loans::ask(boost::asio::yield_context Yield, const std::string &Address,
+                  const WorkspaceId &Name, Tokens Bound) {
+  const auto Now = DecisionClock::now();
+  http::Request Call;
+  Call.Method = "POST";
+  Call.Path = Path;
+  Call.Query = "workspace=" + Name.str() + "&tokens=" +
+               std::to_string(Held.borrowing(Now, Name, Bound).count());
+  try {
+    http::Client Link{Yield, http::Endpoint::parse(Address)};
+    const auto Answer = Link.send(Call, Now + internal::AnswerWait);
+    const auto [Given, Left] = internal::answerOf(Answer.Body);
+    Held.borrow(Name, Given);
+    Others.told(Known, Address, Name, Left, DecisionClock::now());
+    Measured.count("tokens_borrowed_total",
+                   static_cast<std::uint64_t>(Given.count()));
+    return Given;
+  } catch (const Error &Failure) {
+    // What it gave is lost to both; it counts as spent there.
+    Others.silent(Address, Now);
+    log(LogLevel::Debug, "loan.failed",
+        {{"peer", Address}, {"cause", std::string{Failure.what()}}});
+  }
+  return {};
 }
 
 void Loans::giveAway(boost::asio::yield_context Yield,
@@ -160,7 +161,8 @@
                  static_cast<std::uint64_t>(Given.count()));
   http::Response Answer;
   Answer.Fields["Content-Type"] = "text/plain";
-  Answer.Body = std::to_string(Given.count());
+  Answer.Body = std::to_string(Given.count()) + " " +
+                std::to_string(Held.available(Name).count());
   Talk.reply(Answer);
 }
 
--- a/src/goldcrestnotch/escrow/loans.hpp
+++ b/src/goldcrestnotch/escrow/loans.hpp
@@ -15,6 +15,7 @@
 #include <boost/asio/spawn.hpp>
 
 #include "goldcrestnotch/escrow/holder.hpp"
+#include "goldcrestnotch/escrow/lenders.hpp"
 #include "goldcrestnotch/http/server.hpp"
 #include "goldcrestnotch/telemetry/metrics.hpp"
 
@@ -23,7 +24,8 @@
 /// @brief Asks other VMs for tokens and answers those that ask.
 class Loans {
 public:
-  /// Path of the call between VMs; negative tokens are a gift.
+  /// Path of the call between VMs; negative tokens are a gift. The answer is
+  /// "given left".
   static constexpr const char *Path = "/v1/lend";
 
   Loans(const Book &Known, Holder &Held, Metrics &Measured)
@@ -34,12 +36,10 @@
   [[nodiscard]] std::vector<std::string> homes(const WorkspaceId &Name) const;
   /// @brief Whether this VM is one of them.
   [[nodiscard]] bool home(const WorkspaceId &Name) const;
-  /// @brief Other VMs, those that seem to hold most of a budget first.
-  [[nodiscard]] std::vector<std::string> lenders(const WorkspaceId &Name) const;
-
-  /// @brief Asks some of them, until a bound is covered. One coroutine asks
-  /// for a workspace at a time; others return at once.
-  void borrow(boost::asio::yield_context Yield, const WorkspaceId &Name,
+  /// @brief Asks other VMs until a bound is covered. One coroutine asks for a
+  /// workspace at a time; others return at once.
+  /// @return Whether any gave.
+  bool borrow(boost::asio::yield_context Yield, const WorkspaceId &Name,
               Tokens Bound);
   /// @brief Gives all that is not reserved to the first VM that takes it,
   /// before a shutdown that the store can't be told of.
@@ -49,12 +49,23 @@
   void serve(http::Exchange &Talk);
 
 private:
+  /// @brief All were asked, and so much was missing.
+  struct Shortage {
+    Tokens Short;
+    Instant Deadline{}; ///< Until then nobody is asked for as much.
+  };
+
+  [[nodiscard]] bool vain(const WorkspaceId &Name, Tokens Short,
+                          Instant Now) const;
+  Tokens ask(boost::asio::yield_context Yield, const std::string &Address,
+             const WorkspaceId &Name, Tokens Bound);
+
   const Book &Known;
   Holder &Held;
   Metrics &Measured;
+  Lenders Others;
   std::set<WorkspaceId> Asking;
-  std::map<WorkspaceId, Instant> VainDeadline; ///< Nobody had any; until then.
-  std::map<std::string, Instant> SilentDeadline; ///< VMs that did not answer.
+  std::map<WorkspaceId, Shortage> Vain;
 };
 
 } // namespace goldcrestnotch::escrow
