--- a/bench/model/escrow_fleet.hpp
+++ b/bench/model/escrow_fleet.hpp
@@ -230,7 +230,7 @@
     while (!One.Flights.empty() && One.Flights.front().Ends <= Now) {
       const auto Done = One.Flights.front();
       One.Flights.pop_front();
-      One.Held.settle(Name, Done.Bound, Done.Uses);
+      One.Held.settle(Now, Name, Done.Bound, Done.Uses);
     }
     if (draw() < Plan.RequestsPerStep) {
       request(One);
--- a/src/goldcrestnotch/escrow/gate.hpp
+++ b/src/goldcrestnotch/escrow/gate.hpp
@@ -78,7 +78,7 @@
   void lendBy(AskOthers Ask) { Borrow = std::move(Ask); }
 
   void settle(const WorkspaceId &Name, Tokens Bound, Tokens Spent) {
-    Held.settle(Name, Bound, Spent);
+    Held.settle(DecisionClock::now(), Name, Bound, Spent);
   }
 
   /// @brief The book or the holder has changed.
--- a/src/goldcrestnotch/escrow/holder.cpp
+++ b/src/goldcrestnotch/escrow/holder.cpp
@@ -70,7 +70,7 @@
   }
   At.Recent *= std::exp(-internal::seconds(Now - At.RateTime) /
                         internal::seconds(Size.RateWindow));
-  At.Recent += static_cast<double>(Amount.count());
+  At.Recent = std::max(At.Recent + static_cast<double>(Amount.count()), 0.0);
   At.RateTime = Now;
 }
 
@@ -133,9 +133,11 @@
   Desks[Name].Borrowed += Given;
 }
 
-void Holder::settle(const WorkspaceId &Name, Tokens Bound, Tokens Spent) {
+void Holder::settle(Instant Now, const WorkspaceId &Name, Tokens Bound,
+                    Tokens Spent) {
   auto &At = Desks[Name];
   Spent = std::min(Spent, Bound);
+  note(At, Now, Spent - Bound);
   At.Reserved -= Bound;
   const Tokens Lent = std::min(At.Borrowed, Spent);
   At.Borrowed -= Lent;
--- a/src/goldcrestnotch/escrow/holder.hpp
+++ b/src/goldcrestnotch/escrow/holder.hpp
@@ -102,7 +102,7 @@
 
   /// @brief Ends a reservation.
   /// @param Spent At most `Bound`.
-  void settle(const WorkspaceId &Name, Tokens Bound, Tokens Spent);
+  void settle(Instant Now, const WorkspaceId &Name, Tokens Bound, Tokens Spent);
 
   /// @brief The record that should be written next.
   /// @param Vms Count of VMs that share the budgets.
@@ -135,9 +135,11 @@
     Tokens Borrowed; ///< From other VMs, not yet spent; theirs to account for.
     Tokens Wanted;   ///< The largest bound that found too little.
     Instant WantDeadline{}; ///< When whoever wanted it has gone.
-    double Recent = 0;      ///< Reserved tokens, fading over the rate window.
-    Instant RateTime{};     ///< To which `Recent` has faded.
-    Instant Begun{};        ///< Of the first reservation.
+    /// Tokens reserved, less those of them that were not spent, fading over
+    /// the rate window.
+    double Recent = 0;
+    Instant RateTime{}; ///< To which `Recent` has faded.
+    Instant Begun{};    ///< Of the first reservation.
   };
 
   [[nodiscard]] Tokens drawn(const WorkspaceId &Name) const;
