Hold tokens ahead where a workspace's demand arrives

Cause: on a grown site callers of a workspace keep to one VM (dapu540, the largest of 24, sent 98 in 100 of what reached front-dakar-c-11, 300 requests a second), and that VM was no home of the workspace by hash, so it borrowed for single requests. That VM still refuses 250 a second: it can't write its record at all. Its link is full, each append takes longer than others leave between theirs, and the condition fails every time. Next: why so much arrives there.

--- a/src/goldcrestnotch/escrow/gate.hpp
+++ b/src/goldcrestnotch/escrow/gate.hpp
@@ -20,11 +20,9 @@
 class Gate {
 public:
   /// @param Hurry Asks for a write to the store soon.
-  /// @param Home Whether this VM holds tokens of a workspace ahead.
   Gate(boost::asio::io_context &Loop, Book &Known, Holder &Held,
-       std::function<void()> Hurry, IsHome Home)
-      : Known{Known}, Held{Held}, News{Loop}, Hurry{std::move(Hurry)},
-        Home{std::move(Home)} {
+       std::function<void()> Hurry)
+      : Known{Known}, Held{Held}, News{Loop}, Hurry{std::move(Hurry)} {
     News.expires_at(boost::asio::steady_timer::time_point::max());
   }
 
@@ -42,7 +40,7 @@
       Hurry();
     };
     auto Result = Reserve();
-    if (Result == Admission::Short && Home(Name)) {
+    if (Result == Admission::Short && Held.ahead(Name)) {
       Ask();
       awaitNews(Yield, std::min(Until, DecisionClock::now() + StoreWait));
       Result = Reserve();
@@ -64,6 +62,9 @@
       Result = Reserve();
       Lent();
     }
+    if (Result == Admission::Short) {
+      Held.missed(DecisionClock::now(), Name, Bound);
+    }
     if (Result != Admission::Admitted) {
       logRefusal(Result, Name, Budget, Bound);
     }
@@ -109,7 +110,7 @@
          {"spent", All.Spent.count()},
          {"in_doubt", All.Doubt.count()},
          {"wanted", All.Wanted.count()},
-         {"home", Home(Name)},
+         {"ahead", Held.ahead(Name)},
          {"record", static_cast<std::int64_t>(Known.newest())},
          {"refusals", static_cast<std::int64_t>(At.Refusals)}});
     At = {Now + LinePause, 0};
@@ -138,7 +139,6 @@
   boost::asio::steady_timer News;
   std::map<WorkspaceId, Line> Lines;
   std::function<void()> Hurry;
-  IsHome Home;
   AskOthers Borrow;
 };
 
--- a/src/goldcrestnotch/escrow/holder.cpp
+++ b/src/goldcrestnotch/escrow/holder.cpp
@@ -103,6 +103,21 @@
   Urgent = true;
 }
 
+void Holder::missed(Instant Now, const WorkspaceId &Name, Tokens Bound) {
+  note(Desks[Name], Now, Bound);
+}
+
+bool Holder::ahead(const WorkspaceId &Name) const {
+  const auto It = Desks.find(Name);
+  return It != Desks.end() && It->second.Ahead;
+}
+
+bool Holder::heavy(Instant Now, const Desk &At, const Totals &Others) const {
+  const double Own = rate(At, Now);
+  return Own > 0 && Own * static_cast<double>(Size.Homes) >=
+                        Own + static_cast<double>(Others.Rate.count());
+}
+
 Tokens Holder::borrowing(Instant Now, const WorkspaceId &Name,
                          Tokens Bound) const {
   const auto It = Desks.find(Name);
@@ -180,17 +195,18 @@
 }
 
 Account Holder::next(Instant Now, const Desk &At, const Totals &All,
-                     Tokens Budget, Tokens Own, std::size_t Vms, bool Home,
+                     Tokens Budget, Tokens Own, std::size_t Vms,
                      bool &Pressing) const {
   Account Result;
   Result.Spent = At.Spent;
   Result.Doubt = At.Doubt;
-  Result.Rate = Tokens{Home ? static_cast<std::int64_t>(rate(At, Now)) : 0};
+  Result.Rate = Tokens{At.Ahead ? static_cast<std::int64_t>(rate(At, Now)) : 0};
   Result.Drawn = Own;
   const Tokens Free = Budget - All.Drawn;
   const Tokens Held = Own + At.Borrowed - At.Spent;
-  const Tokens Target =
-      Home ? target(Now, At, All, Budget, Own - At.Spent, Vms) : At.Reserved;
+  const Tokens Target = At.Ahead
+                            ? target(Now, At, All, Budget, Own - At.Spent, Vms)
+                            : At.Reserved;
   const Tokens Need = Leaving ? Tokens{} : At.Wanted;
   const Tokens Goal = std::max(Target, At.Reserved + Need);
   if (Held < Goal && Free > Tokens{}) {
@@ -233,6 +249,9 @@
         It != Result.Inherited.end()) {
       Past = It->second;
     }
+    Totals Others = All;
+    Others.Rate -= Before.Rate;
+    At.Ahead = !Concentrated || Home(Name) || heavy(Now, At, Others);
     Desk With = At;
     With.Spent += Past.Drawn;
     With.Doubt += Past.Doubt;
@@ -240,8 +259,7 @@
     const Tokens Budget = Budgets(Name).value_or(All.Drawn);
     Result.Record.Accounts[Name] =
         next(Now, With, All, Budget, Before.Drawn + Past.Drawn,
-             std::min(Vms, Size.Homes), !Concentrated || Home(Name),
-             Result.Pressing);
+             std::min(Vms, Size.Homes), Result.Pressing);
   }
   return Result;
 }
--- a/src/goldcrestnotch/escrow/holder.hpp
+++ b/src/goldcrestnotch/escrow/holder.hpp
@@ -39,8 +39,9 @@
   Millis LendKeep{1'000};
   /// A VM that borrows asks for its demand of this span.
   Millis BorrowAhead{2'000};
-  /// VMs that hold tokens of one workspace ahead; the others borrow from them.
-  /// With more, each would hold less than a single request may take.
+  /// VMs that hold tokens of one workspace ahead, besides those where much of
+  /// its demand arrives; the others borrow from them. With more, each would
+  /// hold less than a single request may take.
   std::size_t Homes = 8;
   /// A want ends after this.
   Millis WantFor{1'000};
@@ -82,6 +83,9 @@
   [[nodiscard]] bool urgent() const noexcept { return Urgent; }
 
   [[nodiscard]] const Sizing &sizing() const noexcept { return Size; }
+  /// @brief Whether tokens of a workspace are held ahead here, as of the last
+  /// proposal.
+  [[nodiscard]] bool ahead(const WorkspaceId &Name) const;
 
   /// @brief Reserves the most that a request can spend.
   [[nodiscard]] Admission reserve(Instant Now, const Book &Source,
@@ -90,6 +94,9 @@
   /// @brief A request waits for a bound that fell short: the next record asks
   /// for it.
   void want(Instant Now, const WorkspaceId &Name, Tokens Bound);
+  /// @brief A request was refused for want of tokens; it is demand all the
+  /// same.
+  void missed(Instant Now, const WorkspaceId &Name, Tokens Bound);
   /// @brief What to ask another VM for when a bound falls short.
   [[nodiscard]] Tokens borrowing(Instant Now, const WorkspaceId &Name,
                                  Tokens Bound) const;
@@ -140,17 +147,22 @@
     double Recent = 0;
     Instant RateTime{}; ///< To which `Recent` has faded.
     Instant Begun{};    ///< Of the first reservation.
+    bool Ahead = false; ///< Holds ahead of need; see `heavy`.
   };
 
   [[nodiscard]] Tokens drawn(const WorkspaceId &Name) const;
   /// @brief Tokens a second, by what was reserved lately.
   [[nodiscard]] double rate(const Desk &At, Instant Now) const;
   void note(Desk &At, Instant Now, Tokens Amount) const;
+  /// @brief Whether so much of a workspace's demand arrives here that this VM
+  /// holds ahead like a home: callers of a workspace often keep to one VM.
+  [[nodiscard]] bool heavy(Instant Now, const Desk &At,
+                           const Totals &Others) const;
   [[nodiscard]] Tokens target(Instant Now, const Desk &At, const Totals &All,
                               Tokens Budget, Tokens Own, std::size_t Vms) const;
   [[nodiscard]] Account next(Instant Now, const Desk &At, const Totals &All,
                              Tokens Budget, Tokens Own, std::size_t Vms,
-                             bool Home, bool &Pressing) const;
+                             bool &Pressing) const;
   void inherit(const Book &Source, Proposal &Into) const;
 
   HolderName Self;
