Give back what was borrowed and is not needed

Cause: on the grown site 8 to 25 in 100 of each budget stood as borrowed remainders at the 53 VMs that are no homes (20,000 to 30,000 tokens each, kept for a request that never came), and was lost in a power loss: after it worst windows served a quarter.

--- a/bench/model/escrow_fleet.hpp
+++ b/bench/model/escrow_fleet.hpp
@@ -261,6 +261,7 @@
     }
     if (Got == escrow::Admission::Short) {
       One.Held.want(Now, Name, Bound);
+      One.Held.missed(Now, Name, Bound);
     }
     if (Got != escrow::Admission::Admitted) {
       const bool Left = Out.Budget - Out.Spent >= Bound.count();
@@ -279,6 +280,9 @@
 
   void borrow(Vm &One, Tokens Bound) {
     for (const auto &Other : Vms) {
+      if (One.Held.available(Name) >= Bound) {
+        return;
+      }
       if (Other.get() == &One || Now < Other->AwakeAt) {
         continue;
       }
--- a/src/goldcrestnotch/escrow/holder.cpp
+++ b/src/goldcrestnotch/escrow/holder.cpp
@@ -213,9 +213,11 @@
     Result.Drawn += std::min(Goal - Held, Free);
     Pressing |= Held < Target * internal::LowPercent / 100 || Need > Tokens{};
   } else if (Held > Goal) {
-    Result.Drawn -= std::min(Held - Goal, Own - At.Spent); // None borrowed.
-    Pressing |= All.Wanted > Tokens{} || Leaving || Free < Tokens{} ||
-                Held > Goal * internal::SurplusPercent / 100;
+    // What was borrowed goes back too: it stays spent at the lender, and the
+    // lower count here frees as much.
+    Result.Drawn -= Held - Goal;
+    const bool Much = At.Ahead && Held > Goal * internal::SurplusPercent / 100;
+    Pressing |= All.Wanted > Tokens{} || Leaving || Free < Tokens{} || Much;
   }
   const Tokens Gets = Result.Drawn + At.Borrowed - At.Spent - At.Reserved;
   Result.Wanted = Need > Gets ? Need - Gets : Tokens{};
--- a/src/goldcrestnotch/escrow/holder.hpp
+++ b/src/goldcrestnotch/escrow/holder.hpp
@@ -30,7 +30,7 @@
 /// @brief How much a holder keeps at hand.
 struct Sizing {
   /// Demand that is held ahead: an outage of the store is served from it.
-  Millis Horizon{7'500};
+  Millis Horizon{8'500};
   /// Demand is averaged over this.
   Millis RateWindow{4'000};
   /// At least the free part divided by this and by the count of VMs.
--- a/src/goldcrestnotch/escrow/record.hpp
+++ b/src/goldcrestnotch/escrow/record.hpp
@@ -19,9 +19,11 @@
 
 /// @brief One VM's part of one budget, counted from the budget's beginning.
 ///
-/// Invariant: `Spent <= Drawn`. The sum of `Doubt` over all VMs is what counts
-/// as spent and may not be: left by processes that died, or lent and not yet
-/// used. A borrower takes what it uses off its own, which may be negative.
+/// Invariant: `Spent <= Drawn` plus what the process has borrowed and not used;
+/// what it gives back of that lowers `Drawn`, below zero too. The sum of
+/// `Doubt` over all VMs is what counts as spent and may not be: left by
+/// processes that died, or lent and not yet used. A borrower takes what it uses
+/// off its own, which may be negative.
 struct Account {
   Tokens Drawn;  ///< Taken from the budget and not given back.
   Tokens Spent;  ///< Of these, used up or written off.
