--- a/standin/users_replica.cpp
+++ b/standin/users_replica.cpp
@@ -60,6 +60,12 @@
   return Last;
 }
 
+int UsersReplica::runsOf(const std::string &Attempt) const {
+  const std::lock_guard Lock{Mutex};
+  const auto It = Attempts.find(Attempt);
+  return It == Attempts.end() ? 0 : It->second;
+}
+
 void UsersReplica::handle(Exchange &Talk) {
   const auto &Asked = Talk.request();
   Response Answer;
@@ -80,6 +86,7 @@
   {
     const std::lock_guard Lock{Mutex};
     Last = Asked.Fields;
+    ++Attempts[std::string{Asked.field(Attempt)}];
   }
   if (Now == Mood::Vanishing) {
     loseConnection();
--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -38,6 +38,11 @@
   /// @brief What stands in the registry about it.
   [[nodiscard]] std::string entry(const std::string &Service,
                                   const std::string &State) const;
+  [[nodiscard]] std::uint16_t port() const noexcept { return Link.port(); }
+  /// @brief Others reach it by this port, not by its own.
+  void reachBy(std::uint16_t Port) { Where.Port = Port; }
+  /// @brief How often it ran the request of an attempt.
+  [[nodiscard]] int runsOf(const std::string &Attempt) const;
   /// @brief Requests that it ran.
   [[nodiscard]] std::uint64_t runs() const noexcept { return Runs; }
   /// @brief Header fields of the last request that it ran.
@@ -56,7 +61,8 @@
   goldcrestnotch::http::Endpoint Where;
   std::atomic<std::uint64_t> Runs{0};
   mutable std::mutex Mutex;
-  goldcrestnotch::http::Headers Last; ///< Guarded by `Mutex`.
+  goldcrestnotch::http::Headers Last;  ///< Guarded by `Mutex`.
+  std::map<std::string, int> Attempts; ///< Runs of each; guarded by `Mutex`.
   goldcrestnotch::http::Server Link;
 };
 
--- a/test/platform/fleet.hpp
+++ b/test/platform/fleet.hpp
@@ -19,6 +19,7 @@
 #include <boost/asio/spawn.hpp>
 #include <nlohmann/json.hpp>
 
+#include "faulty_link.hpp"
 #include "goldcrestnotch/core/error.hpp"
 #include "goldcrestnotch/http/client.hpp"
 #include "process.hpp"
@@ -53,16 +54,21 @@
 public:
   static constexpr const char *Host = "shop.example";
 
-  explicit Fleet(int Replicas = 2, int Vms = 1)
-      : Guard{Context.get_executor()}, Store{Context, {"127.0.0.1", 0}} {
+  explicit Fleet(int Replicas = 2, int Vms = 1,
+                 std::int64_t Prepaid = 1'000'000)
+      : Guard{Context.get_executor()}, Store{Context, {"127.0.0.1", 0}},
+        StoreWay{Context, Store.port()} {
     for (int I = 0; I < Replicas; ++I) {
       Engines.push_back(std::make_unique<UsersReplica>(
           Context, "i-" + std::to_string(I), http::Endpoint{"127.0.0.1", 0}));
+      Ways.push_back(std::make_unique<standin::FaultyLink>(
+          Context, Engines.back()->port()));
+      Engines.back()->reachBy(Ways.back()->port());
     }
     for (int I = 0; I < 2; ++I) {
       Threads.emplace_back([this] { Context.run(); });
     }
-    publish(1, 1'000'000);
+    publish(1, Prepaid);
     for (const auto &One : Engines) {
       state(*One, "ready");
     }
@@ -84,7 +90,7 @@
 
   /// @brief Publishes a configuration.
   void publish(int Version, std::int64_t Prepaid,
-               const std::string &Key = "key-1") {
+               const std::vector<std::string> &Keys = {"key-1"}) {
     const auto Route = [](const char *Name, const char *Prefix,
                           const char *Kind, bool Resumable) {
       return json{
@@ -112,7 +118,7 @@
           {"headerTimeoutMs", 3'000},
           {"idleTimeoutMs", 15'000}}},
         {"tenants",
-         {{{"name", "stall"}, {"apiKeys", {Key}}, {"prepaid", Prepaid}}}}};
+         {{{"name", "stall"}, {"apiKeys", Keys}, {"prepaid", Prepaid}}}}};
     Store.put("keyed.op", "config", Whole.dump());
   }
   /// @brief Registers a replica.
@@ -122,6 +128,10 @@
   [[nodiscard]] UsersReplica &engine(int Number) {
     return *Engines[static_cast<std::size_t>(Number)];
   }
+  /// @brief The way from the daemons to a replica.
+  [[nodiscard]] standin::FaultyLink &way(int Number) {
+    return *Ways[static_cast<std::size_t>(Number)];
+  }
   [[nodiscard]] std::uint64_t runs() const {
     std::uint64_t Sum = 0;
     for (const auto &One : Engines) {
@@ -196,6 +206,7 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
       Guard;
   standin::UsersStore Store;
+  standin::FaultyLink StoreWay; ///< The way from the daemons to the store.
 
 private:
   /// Each VM has a loopback address of its own; runs side by side differ.
@@ -216,8 +227,8 @@
            "ready = " + At(ReadyPort) + "control = " + At(ControlPort) +
            "directory = " + At(DirectoryPort) +
            "[bounds]\ngraceS = 4\ndrainMs = 2000\nttl_max_s = 1\n" +
-           "[platform]\naddress = \"127.0.0.1:" + std::to_string(Store.port()) +
-           "\"\n";
+           "[platform]\naddress = \"127.0.0.1:" +
+           std::to_string(StoreWay.port()) + "\"\n";
   }
 
   [[nodiscard]] Got send(const http::Request &Asked,
@@ -244,6 +255,7 @@
   }
 
   std::vector<std::unique_ptr<UsersReplica>> Engines;
+  std::vector<std::unique_ptr<standin::FaultyLink>> Ways; ///< One an engine.
   std::vector<std::unique_ptr<scenario::Process>> Daemons;
   std::vector<std::thread> Threads;
 };
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -196,7 +196,7 @@
   std::this_thread::sleep_for(std::chrono::milliseconds{1'500});
   EXPECT_EQ(All.call(Chat).Status, 200);
   EXPECT_EQ(All.call(Order).Status, 200);
-  All.publish(2, 1'000'000, "key-2");
+  All.publish(2, 1'000'000, {"key-2"});
   All.Store.Down = false;
   auto Next = Order;
   Next.Key = "key-2";
@@ -240,7 +240,7 @@
   ASSERT_TRUE(All.ready());
   All.Store.Down = true;
   std::this_thread::sleep_for(std::chrono::milliseconds{300});
-  All.publish(2, 1'000'000, "key-2");
+  All.publish(2, 1'000'000, {"key-2"});
   All.Store.put("keyed.servers", "i-0", std::nullopt);
   All.Store.compact("keyed.op");
   All.Store.compact("keyed.servers");
@@ -265,11 +265,11 @@
 TEST(Platform, ConfigurationNeverGoesBack) {
   Fleet All;
   ASSERT_TRUE(All.ready());
-  All.publish(5, 1'000'000, "key-5");
+  All.publish(5, 1'000'000, {"key-5"});
   auto Next = Order;
   Next.Key = "key-5";
   ASSERT_TRUE(All.eventually([&] { return All.call(Next).Status == 200; }));
-  All.publish(4, 1'000'000, "key-1");
+  All.publish(4, 1'000'000, {"key-1"});
   std::this_thread::sleep_for(std::chrono::milliseconds{500});
   EXPECT_EQ(All.call(Next).Status, 200);
 }
