Refuse at once what neither the store nor another VM can cover

Cause: a request short of tokens waited 250 ms for news even when all of the budget was drawn by others, or the store was away; it was refused in the end, and its caller came back later than it could have. Now it waits only if enough of the budget is in nobody's hands and the store answers.

--- a/src/goldcrestnotch/escrow/gate.hpp
+++ b/src/goldcrestnotch/escrow/gate.hpp
@@ -20,14 +20,16 @@
 class Gate {
 public:
   /// @param Hurry Asks for a write to the store soon.
+  /// @param StoreUp Whether a write could be done now.
   Gate(boost::asio::io_context &Loop, Book &Known, Holder &Held,
-       std::function<void()> Hurry)
-      : Known{Known}, Held{Held}, News{Loop}, Hurry{std::move(Hurry)} {
+       std::function<void()> Hurry, std::function<bool()> StoreUp)
+      : Known{Known}, Held{Held}, News{Loop}, Hurry{std::move(Hurry)},
+        StoreUp{std::move(StoreUp)} {
     News.expires_at(boost::asio::steady_timer::time_point::max());
   }
 
-  /// @brief Reserves a bound; if it falls short, waits for the store and asks
-  /// other VMs.
+  /// @brief Reserves a bound; if it falls short, asks other VMs, and waits for
+  /// the store if a write could bring enough.
   /// @param Until When to give up.
   [[nodiscard]] Admission admit(boost::asio::yield_context Yield,
                                 const WorkspaceId &Name, Tokens Budget,
@@ -57,7 +59,8 @@
     if (Result == Admission::Short) {
       Ask();
     }
-    while (Result == Admission::Short && DecisionClock::now() < Until) {
+    while (Result == Admission::Short && DecisionClock::now() < Until &&
+           worthWaiting(Name, Budget, Bound)) {
       awaitNews(Yield, Until);
       Result = Reserve();
       Lent();
@@ -91,6 +94,13 @@
   /// At most one line about refusals of a workspace in this time.
   static constexpr Millis LinePause{1'000};
 
+  /// @brief Whether enough of the budget is in nobody's hands.
+  [[nodiscard]] bool worthWaiting(const WorkspaceId &Name, Tokens Budget,
+                                  Tokens Bound) const {
+    const auto Free = Budget - Known.totals(Name).Drawn;
+    return StoreUp() && Free + Held.available(Name) >= Bound;
+  }
+
   void logRefusal(Admission Result, const WorkspaceId &Name, Tokens Budget,
                   Tokens Bound) {
     auto &At = Lines[Name];
@@ -139,6 +149,7 @@
   boost::asio::steady_timer News;
   std::map<WorkspaceId, Line> Lines;
   std::function<void()> Hurry;
+  std::function<bool()> StoreUp;
   AskOthers Borrow;
 };
 
