Wait for the answer of a loan behind a full link

Connecting still gives up after 60 ms, the answer is awaited 500 ms; no further VM is asked once the request has lost patience.

--- a/src/goldcrestnotch/escrow/gate.hpp
+++ b/src/goldcrestnotch/escrow/gate.hpp
@@ -49,7 +49,7 @@
     }
     const auto Lent = [&] {
       if (Result == Admission::Short && Borrow) {
-        if (Borrow(Yield, Name, Bound)) {
+        if (Borrow(Yield, Name, Bound, Until)) {
           notify(); // Others may wait for tokens of the same workspace.
         }
         Result = Reserve();
@@ -76,7 +76,7 @@
 
   /// Asks other VMs until a bound is covered; whether any gave.
   using AskOthers = std::function<bool(boost::asio::yield_context,
-                                       const WorkspaceId &, Tokens)>;
+                                       const WorkspaceId &, Tokens, Instant)>;
 
   /// @brief Says how to ask other VMs for tokens.
   void lendBy(AskOthers Ask) { Borrow = std::move(Ask); }
--- a/src/goldcrestnotch/escrow/loans.cpp
+++ b/src/goldcrestnotch/escrow/loans.cpp
@@ -17,8 +17,11 @@
 
 /// VMs asked for one shortage: as many as hold a workspace's tokens ahead.
 static constexpr std::size_t MostAsked = 8;
-/// A VM of the same region answers within this.
-static constexpr Millis AnswerWait{60};
+/// A VM of the same region takes a connection within this.
+static constexpr Millis ConnectWait{60};
+/// A loan whose answer is not awaited is lost to both, so a full link is waited
+/// for.
+static constexpr Millis AnswerWait{500};
 /// After asking in vain, nobody is asked for as much for this long.
 static constexpr Millis VainPause{200};
 
@@ -69,7 +72,7 @@
 }
 
 bool Loans::borrow(boost::asio::yield_context Yield, const WorkspaceId &Name,
-                   Tokens Bound) {
+                   Tokens Bound, Instant Until) {
   if (vain(Name, Bound - Held.available(Name), DecisionClock::now()) ||
       !Asking.insert(Name).second) {
     return false;
@@ -78,7 +81,8 @@
   std::size_t Asked = 0;
   for (const auto &Address :
        Others.rank(Known, Held.name().Vm, Name, DecisionClock::now())) {
-    if (Asked == internal::MostAsked || Held.available(Name) >= Bound) {
+    if (Asked == internal::MostAsked || Held.available(Name) >= Bound ||
+        DecisionClock::now() >= Until) {
       break;
     }
     ++Asked;
@@ -102,6 +106,7 @@
                std::to_string(Held.borrowing(Now, Name, Bound).count());
   try {
     http::Client Link{Yield, http::Endpoint::parse(Address)};
+    Link.connectBy(Now + internal::ConnectWait);
     const auto Answer = Link.send(Call, Now + internal::AnswerWait);
     const auto [Given, Left] = internal::answerOf(Answer.Body);
     Held.borrow(Name, Given);
@@ -132,6 +137,7 @@
                    "&tokens=" + std::to_string(-Given.count());
       try {
         http::Client Link{Yield, http::Endpoint::parse(*It)};
+        Link.connectBy(DecisionClock::now() + internal::ConnectWait);
         const auto Until = DecisionClock::now() + internal::AnswerWait;
         Taken = Link.send(Call, Until).Status == 200;
         break;
--- a/src/goldcrestnotch/escrow/loans.hpp
+++ b/src/goldcrestnotch/escrow/loans.hpp
@@ -38,9 +38,10 @@
   [[nodiscard]] bool home(const WorkspaceId &Name) const;
   /// @brief Asks other VMs until a bound is covered. One coroutine asks for a
   /// workspace at a time; others return at once.
+  /// @param Until Nobody is asked after this.
   /// @return Whether any gave.
   bool borrow(boost::asio::yield_context Yield, const WorkspaceId &Name,
-              Tokens Bound);
+              Tokens Bound, Instant Until);
   /// @brief Gives all that is not reserved to the first VM that takes it,
   /// before a shutdown that the store can't be told of.
   void giveAway(boost::asio::yield_context Yield,
--- a/src/goldcrestnotch/http/client.cpp
+++ b/src/goldcrestnotch/http/client.cpp
@@ -130,7 +130,7 @@
 std::unique_ptr<ClientStream> Client::open(const Request &Asked,
                                            Instant Until) {
   auto Opened = std::make_unique<internal::Connection>(Yield, Where);
-  Opened->connect(Until);
+  Opened->connect(std::min(Until, ConnectUntil));
   Opened->ask(Asked, Until);
   return Opened;
 }
--- a/src/goldcrestnotch/http/client.hpp
+++ b/src/goldcrestnotch/http/client.hpp
@@ -33,6 +33,9 @@
   Client(boost::asio::yield_context Yield, Endpoint Where)
       : Yield{Yield}, Where{std::move(Where)} {}
 
+  /// @brief Gives up connecting at an instant; without it, with the request.
+  void connectBy(Instant Until) noexcept { ConnectUntil = Until; }
+
   /// @brief Sends a request and reads its whole answer.
   /// @throws Error whose verdict is `not-run` only if no byte was sent.
   [[nodiscard]] Response send(const Request &Asked, Instant Until);
@@ -45,6 +48,7 @@
 private:
   boost::asio::yield_context Yield;
   Endpoint Where;
+  Instant ConnectUntil = Instant::max();
 };
 
 } // namespace goldcrestnotch::http
