--- a/src/goldcrestnotch/proxy/listener.cpp
+++ b/src/goldcrestnotch/proxy/listener.cpp
@@ -26,6 +26,9 @@
 static constexpr int MalformedStatus = 400;
 static constexpr int BodyTooLargeStatus = 413;
 static constexpr int HeadTooLargeStatus = 431;
+/// Bytes of a caller on their way at a time: many callers with long prompts
+/// must not hold up the store's answers on a narrow link.
+static constexpr int CallerBytes = 8'192;
 
 } // namespace internal
 
@@ -35,6 +38,8 @@
   const tcp::endpoint Local{asio::ip::make_address(Where.Address), Where.Port};
   Acceptor.open(Local.protocol());
   Acceptor.set_option(asio::socket_base::reuse_address(true));
+  Acceptor.set_option(
+      asio::socket_base::receive_buffer_size(internal::CallerBytes));
   Acceptor.bind(Local);
   Acceptor.listen();
 }
