--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -87,6 +87,7 @@
   }
   std::atomic<bool> Stop{false};
   std::vector<std::thread> Callers;
+  Callers.reserve(static_cast<std::size_t>(What.Callers));
   for (int I = 0; I < What.Callers; ++I) {
     Callers.emplace_back([&, I] { callAll(All, Seen, Stop, What, I); });
   }
