Split the gate's steps; find homes without sorting

Gate::admit was one function with three lambdas; its steps are functions now, in the same order. Whether a VM is a home of a workspace was found by building and sorting a list of all VMs for each workspace in each step; it now counts those that rank above. heavy() took a copy of all totals for one rate.

--- a/src/goldcrestnotch/escrow/gate.hpp
+++ b/src/goldcrestnotch/escrow/gate.hpp
@@ -34,42 +34,29 @@
   [[nodiscard]] Admission admit(boost::asio::yield_context Yield,
                                 const WorkspaceId &Name, Tokens Budget,
                                 Tokens Bound, Instant Until) {
-    const auto Reserve = [&] {
-      return Held.reserve(DecisionClock::now(), Known, Name, Budget, Bound);
-    };
-    const auto Ask = [&] {
-      Held.want(DecisionClock::now(), Name, Bound);
-      Hurry();
-    };
-    auto Result = Reserve();
+    const Wish What{Name, Budget, Bound, Until};
+    auto Result = reserve(What);
     if (Result == Admission::Short && Held.ahead(Name)) {
-      Ask();
+      ask(What);
       awaitNews(Yield, std::min(Until, DecisionClock::now() + StoreWait));
-      Result = Reserve();
+      Result = reserve(What);
+    }
+    if (Result == Admission::Short) {
+      Result = borrow(Yield, What);
     }
-    const auto Lent = [&] {
-      if (Result == Admission::Short && Borrow) {
-        if (Borrow(Yield, Name, Bound, Until)) {
-          notify(); // Others may wait for tokens of the same workspace.
-        }
-        Result = Reserve();
-      }
-    };
-    Lent();
     if (Result == Admission::Short) {
-      Ask();
+      ask(What);
     }
     while (Result == Admission::Short && DecisionClock::now() < Until &&
-           worthWaiting(Name, Budget, Bound)) {
+           worthWaiting(What)) {
       awaitNews(Yield, Until);
-      Result = Reserve();
-      Lent();
-    }
-    if (Result == Admission::Short) {
-      Held.missed(DecisionClock::now(), Name, Bound);
+      Result = reserve(What);
+      if (Result == Admission::Short) {
+        Result = borrow(Yield, What);
+      }
     }
     if (Result != Admission::Admitted) {
-      logRefusal(Result, Name, Budget, Bound);
+      noteRefusal(What, Result);
     }
     return Result;
   }
@@ -94,18 +81,51 @@
   /// At most one line about refusals of a workspace in this time.
   static constexpr Millis LinePause{1'000};
 
+  /// @brief What a request asks for.
+  struct Wish {
+    const WorkspaceId &Name;
+    Tokens Budget;
+    Tokens Bound;
+    Instant Until; ///< When to give up.
+  };
+
+  [[nodiscard]] Admission reserve(const Wish &What) {
+    return Held.reserve(DecisionClock::now(), Known, What.Name, What.Budget,
+                        What.Bound);
+  }
+
+  /// @brief Asks for a record that brings enough.
+  void ask(const Wish &What) {
+    Held.want(DecisionClock::now(), What.Name, What.Bound);
+    Hurry();
+  }
+
+  /// @brief Asks other VMs, then reserves.
+  [[nodiscard]] Admission borrow(boost::asio::yield_context Yield,
+                                 const Wish &What) {
+    if (!Borrow) {
+      return Admission::Short;
+    }
+    if (Borrow(Yield, What.Name, What.Bound, What.Until)) {
+      notify(); // Others may wait for tokens of the same workspace.
+    }
+    return reserve(What);
+  }
+
   /// @brief Whether enough of the budget is in nobody's hands.
-  [[nodiscard]] bool worthWaiting(const WorkspaceId &Name, Tokens Budget,
-                                  Tokens Bound) const {
-    const auto Free = Budget - Known.totals(Name).Drawn;
-    return StoreUp() && Free + Held.available(Name) >= Bound;
+  [[nodiscard]] bool worthWaiting(const Wish &What) const {
+    const auto Free = What.Budget - Known.totals(What.Name).Drawn;
+    return StoreUp() && Free + Held.available(What.Name) >= What.Bound;
   }
 
-  void logRefusal(Admission Result, const WorkspaceId &Name, Tokens Budget,
-                  Tokens Bound) {
+  void noteRefusal(const Wish &What, Admission Result) {
+    const auto Now = DecisionClock::now();
+    const auto &Name = What.Name;
+    if (Result == Admission::Short) {
+      Held.missed(Now, Name, What.Bound);
+    }
     auto &At = Lines[Name];
     ++At.Refusals;
-    const auto Now = DecisionClock::now();
     if (Now < At.QuietDeadline) {
       return;
     }
@@ -113,9 +133,9 @@
     log(LogLevel::Warn, "budget.refused",
         {{"workspace", Name.str()},
          {"exhausted", Result == Admission::Exhausted},
-         {"bound", Bound.count()},
+         {"bound", What.Bound.count()},
          {"available", Held.available(Name).count()},
-         {"budget", Budget.count()},
+         {"budget", What.Budget.count()},
          {"drawn", All.Drawn.count()},
          {"spent", All.Spent.count()},
          {"in_doubt", All.Doubt.count()},
--- a/src/goldcrestnotch/escrow/holder.cpp
+++ b/src/goldcrestnotch/escrow/holder.cpp
@@ -112,10 +112,10 @@
   return It != Desks.end() && It->second.Ahead;
 }
 
-bool Holder::heavy(Instant Now, const Desk &At, const Totals &Others) const {
+bool Holder::heavy(Instant Now, const Desk &At, Tokens OthersRate) const {
   const double Own = rate(At, Now);
   return Own > 0 && Own * static_cast<double>(Size.Homes) >=
-                        Own + static_cast<double>(Others.Rate.count());
+                        Own + static_cast<double>(OthersRate.count());
 }
 
 Tokens Holder::borrowing(Instant Now, const WorkspaceId &Name,
@@ -251,9 +251,8 @@
         It != Result.Inherited.end()) {
       Past = It->second;
     }
-    Totals Others = All;
-    Others.Rate -= Before.Rate;
-    At.Ahead = !Concentrated || Home(Name) || heavy(Now, At, Others);
+    At.Ahead =
+        !Concentrated || Home(Name) || heavy(Now, At, All.Rate - Before.Rate);
     Desk With = At;
     With.Spent += Past.Drawn;
     With.Doubt += Past.Doubt;
--- a/src/goldcrestnotch/escrow/holder.hpp
+++ b/src/goldcrestnotch/escrow/holder.hpp
@@ -157,7 +157,7 @@
   /// @brief Whether so much of a workspace's demand arrives here that this VM
   /// holds ahead like a home: callers of a workspace often keep to one VM.
   [[nodiscard]] bool heavy(Instant Now, const Desk &At,
-                           const Totals &Others) const;
+                           Tokens OthersRate) const;
   [[nodiscard]] Tokens target(Instant Now, const Desk &At, const Totals &All,
                               Tokens Budget, Tokens Own, std::size_t Vms) const;
   [[nodiscard]] Account next(Instant Now, const Desk &At, const Totals &All,
--- a/src/goldcrestnotch/escrow/loans.cpp
+++ b/src/goldcrestnotch/escrow/loans.cpp
@@ -3,7 +3,6 @@
 
 #include "goldcrestnotch/escrow/loans.hpp"
 
-#include <algorithm>
 #include <charconv>
 
 #include "goldcrestnotch/core/error.hpp"
@@ -42,27 +41,25 @@
 
 } // namespace internal
 
-std::vector<std::string> Loans::homes(const WorkspaceId &Name) const {
-  std::vector<std::pair<std::uint64_t, std::string>> Ranked;
+bool Loans::home(const WorkspaceId &Name) const {
+  const auto &Own = Held.name().Vm;
+  const auto RankOf = [&Name](const std::string &Vm) {
+    return std::pair{rendezvous(Name.str(), Vm), Vm};
+  };
+  const auto OwnRank = RankOf(Own);
+  std::size_t Live = 0;
+  std::size_t Above = 0;
+  bool Listed = false;
   for (const auto &[Holder, Entry] : Known.entries()) {
-    if (Entry.Record && !Entry.Record->Leaving) {
-      Ranked.emplace_back(rendezvous(Name.str(), Holder.Vm), Holder.Vm);
+    if (!Entry.Record || Entry.Record->Leaving) {
+      continue;
     }
+    ++Live;
+    Listed |= Holder.Vm == Own;
+    Above += RankOf(Holder.Vm) > OwnRank ? 1 : 0;
   }
-  std::sort(Ranked.rbegin(), Ranked.rend());
-  Ranked.resize(std::min(Ranked.size(), Held.sizing().Homes));
-  std::vector<std::string> Result;
-  Result.reserve(Ranked.size());
-  for (auto &[Score, Vm] : Ranked) {
-    Result.push_back(std::move(Vm));
-  }
-  return Result;
-}
-
-bool Loans::home(const WorkspaceId &Name) const {
-  const auto Homes = homes(Name);
-  return Homes.size() < Held.sizing().Homes ||
-         std::find(Homes.begin(), Homes.end(), Held.name().Vm) != Homes.end();
+  const auto Homes = Held.sizing().Homes;
+  return Live < Homes || (Listed && Above < Homes);
 }
 
 bool Loans::vain(const WorkspaceId &Name, Tokens Short, Instant Now) const {
--- a/src/goldcrestnotch/escrow/loans.hpp
+++ b/src/goldcrestnotch/escrow/loans.hpp
@@ -5,9 +5,7 @@
 
 #pragma once
 
-#include <functional>
 #include <map>
-#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,11 +29,10 @@
   Loans(const Book &Known, Holder &Held, Metrics &Measured)
       : Known{Known}, Held{Held}, Measured{Measured} {}
 
-  /// @brief The VMs that hold tokens of a workspace ahead, of all in the book
-  /// and this one, by hash: all VMs find the same ones.
-  [[nodiscard]] std::vector<std::string> homes(const WorkspaceId &Name) const;
-  /// @brief Whether this VM is one of them.
+  /// @brief Whether this VM is among those that hold tokens of a workspace
+  /// ahead: of all in the book, by hash, so all VMs find the same ones.
   [[nodiscard]] bool home(const WorkspaceId &Name) const;
+
   /// @brief Asks other VMs until a bound is covered. One coroutine asks for a
   /// workspace at a time; others return at once.
   /// @param Until Nobody is asked after this.
--- a/test/goldcrestnotch/escrow/loans_test.cpp
+++ b/test/goldcrestnotch/escrow/loans_test.cpp
@@ -51,6 +51,22 @@
   http::Server Link;
 };
 
+TEST(Loans, AllVmsFindTheSameHomes) {
+  constexpr int Vms = 20;
+  Book Known;
+  for (int I = 0; I < Vms; ++I) {
+    Known.apply(static_cast<std::uint64_t>(I), {std::to_string(I), "boot"},
+                HolderRecord{});
+  }
+  std::size_t Homes = 0;
+  for (int I = 0; I < Vms; ++I) {
+    Holder Held{HolderName{std::to_string(I), "boot"}};
+    Metrics Measured;
+    Homes += Loans{Known, Held, Measured}.home(Stall) ? 1 : 0;
+  }
+  EXPECT_EQ(Homes, Sizing{}.Homes);
+}
+
 TEST(Loans, SlowAnswerStillCounts) {
   SlowLender On{Millis{200}};
   EXPECT_EQ(On.borrowed(Tokens{300}), Tokens{300});
