Read the store in short pages, and newest records instead of long history

Then every read of keyed.escrow asks for all that 61 VMs wrote meanwhile, which cannot come within the 1 s that a call has; the next read asks for more.

Ruled out: the directory. Logged on all 61 VMs, its answers name more than 20 addresses nearly always (one or two of 250 answers a VM named only itself, after restarts), and its callers stay at that VM all the same.

--- a/src/goldcrestnotch/http/session.cpp
+++ b/src/goldcrestnotch/http/session.cpp
@@ -3,6 +3,7 @@
 
 #include "goldcrestnotch/http/session.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -22,6 +23,8 @@
 namespace internal {
 
 static constexpr std::uint64_t MostBody = 64ULL * 1024 * 1024;
+/// An answer that has begun is given up after so long without another byte.
+static constexpr Millis StallWait{1'000};
 
 } // namespace internal
 
@@ -94,8 +97,9 @@
     wire::async_write(*Socket, Message, Yield[Failure]);
     wire::response_parser<wire::string_body> Parser;
     Parser.body_limit(internal::MostBody);
-    if (!Failure) {
-      wire::async_read(*Socket, Buffer, Parser, Yield[Failure]);
+    while (!Failure && !Parser.is_done()) {
+      wire::async_read_some(*Socket, Buffer, Parser, Yield[Failure]);
+      expire(std::max(Until, DecisionClock::now() + internal::StallWait));
     }
     if (Failure) {
       throw failed("no answer from", Failure, Verdict::MayHaveRun);
--- a/src/goldcrestnotch/http/session.hpp
+++ b/src/goldcrestnotch/http/session.hpp
@@ -23,6 +23,8 @@
   Session &operator=(const Session &) = delete;
 
   /// @brief Sends a request and reads its whole answer.
+  /// @param Until When to give up, unless the answer is on its way by then: it
+  /// is awaited while it goes on coming.
   /// @throws Error whose verdict is `not-run` only if no byte was sent.
   [[nodiscard]] Response send(boost::asio::yield_context Yield,
                               const Request &Asked, Instant Until);
--- a/src/goldcrestnotch/store/keyed_feed.hpp
+++ b/src/goldcrestnotch/store/keyed_feed.hpp
@@ -49,7 +49,8 @@
     return Result;
   }
 
-  /// @brief Reads what is new, waiting for it if nothing is.
+  /// @brief Reads what is new, waiting for it if nothing is. Far behind the
+  /// end, reads the newest record of each key instead of all of its history.
   /// @throws StoreError
   void poll(boost::asio::yield_context Yield, Millis Wait) {
     if (!Loaded) {
@@ -65,6 +66,10 @@
       take(One);
     }
     Next = std::max(Next, Got.Next);
+    const bool Stuck = Got.Records.empty() && Got.End > Next;
+    if (Stuck || Got.End > Next + Newest.size()) {
+      load(Yield);
+    }
   }
 
   /// @brief Takes a record in, if it is newer than what is known of its key.
--- a/src/goldcrestnotch/store/log.hpp
+++ b/src/goldcrestnotch/store/log.hpp
@@ -34,6 +34,7 @@
 struct ReadResult {
   bool Trimmed = false;   ///< The offset asked for is gone; nothing was read.
   std::uint64_t Next = 0; ///< Where to read on.
+  std::uint64_t End = 0;  ///< End of the partition as it was read.
   std::vector<Record> Records;
 };
 
--- a/standin/users_store.cpp
+++ b/standin/users_store.cpp
@@ -22,6 +22,8 @@
 
 namespace {
 
+/// What one read brings unless it asks for less.
+constexpr std::uint64_t DefaultReadKb = 1'024;
 constexpr Millis ReadPoll{5};
 constexpr std::size_t LengthBytes = 4;
 
@@ -143,9 +145,12 @@
   const auto From = numberOf(Asked.parameter("from"));
   const auto Until =
       DecisionClock::now() + Millis{numberOf(Asked.parameter("waitMs"))};
+  const auto MostKb = Asked.parameter("maxKb");
+  const std::size_t MostBytes =
+      (MostKb.empty() ? DefaultReadKb : numberOf(MostKb)) * 1'024;
   while (true) {
     // The lock is never held while the answer is written.
-    if (const auto Answer = page(Asked.parameter("topic"), From,
+    if (const auto Answer = page(Asked.parameter("topic"), From, MostBytes,
                                  DecisionClock::now() >= Until)) {
       Talk.reply(*Answer);
       return;
@@ -158,7 +163,8 @@
 }
 
 std::optional<Response> UsersStore::page(const std::string &Name,
-                                         std::uint64_t From, bool Empty) {
+                                         std::uint64_t From,
+                                         std::size_t MostBytes, bool Empty) {
   const std::lock_guard Lock{Mutex};
   const auto &At = Topics[Name];
   if (From < At.First) {
@@ -169,7 +175,8 @@
   }
   Response Answer;
   Answer.Body = bigEndian64(At.Records.size()) + bigEndian64(At.First);
-  for (auto I = From; I < At.Records.size(); ++I) {
+  for (auto I = From; I < At.Records.size() && Answer.Body.size() < MostBytes;
+       ++I) {
     const auto &One = At.Records[I];
     Answer.Body += framed(std::string(1, static_cast<char>(One.Key.size())) +
                           One.Key + One.Value.value_or(""));
--- a/standin/users_store.hpp
+++ b/standin/users_store.hpp
@@ -54,9 +54,11 @@
   void append(goldcrestnotch::http::Exchange &Talk);
   void read(goldcrestnotch::http::Exchange &Talk);
   void newest(goldcrestnotch::http::Exchange &Talk);
+  /// @param MostBytes Records beyond are left for the next read.
   /// @param Empty Whether to answer though there is no news.
   [[nodiscard]] std::optional<goldcrestnotch::http::Response>
-  page(const std::string &Name, std::uint64_t From, bool Empty);
+  page(const std::string &Name, std::uint64_t From, std::size_t MostBytes,
+       bool Empty);
   void add(Topic &At, Record One) const;
 
   mutable std::mutex Mutex;
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -377,5 +377,29 @@
   EXPECT_NE(Text.find("requests_total{outcome=\"ok\"} 1"), std::string::npos);
 }
 
+TEST(Platform, LongHistoryOnANarrowLinkHoldsNothingUp) {
+  Fleet All{1};
+  ASSERT_TRUE(All.ready());
+  EXPECT_EQ(All.call(Chat).Status, 200);
+  All.StoreWay.Now = standin::FaultyLink::Mode::Silent;
+  // As many VMs write while a VM is cut off for some seconds.
+  const std::string Filler(1'000, 'x');
+  for (int I = 0; I < 3'000; ++I) {
+    All.Store.put("keyed.escrow", "10.0.0." + std::to_string(I % 60) + "/boot",
+                  Filler);
+  }
+  All.publish(2, 1'000'000, {"key-1", "key-2"});
+  std::this_thread::sleep_for(std::chrono::milliseconds{1'500});
+  All.StoreWay.Now = standin::FaultyLink::Mode::Slow;
+  auto Large = Chat;
+  Large.Usage = "600000,60"; // More than a VM holds ahead.
+  EXPECT_TRUE(All.eventually(
+      [&] {
+        static int Number = 0;
+        return All.call(numbered(Large, ++Number)).Status == 200;
+      },
+      4'000));
+}
+
 } // namespace
 } // namespace platform_test
