Read long prompts on a part of the targets

A pause comes while the engine reads a long prompt between the tokens of its other streams.

Ruled out: queueing before the first event (98 to 240 ms in the late answers).

Change: of a service with six or more targets a sixth, the same ones for all VMs, read prompts from 24,000 tokens; others go there, and long ones elsewhere, only where that saves 250 ms. Smaller services are not divided.

Tests: LongPrompts.*, TargetSetTest.LongPromptsKeepTheirAffinityInASmallService; Gate.RefusesAtOnceWhatOthersWillNotLend.

--- a/src/goldcrestnotch/backend/target.hpp
+++ b/src/goldcrestnotch/backend/target.hpp
@@ -26,6 +26,13 @@
   std::uint64_t Incarnation = 0; ///< Differs between two starts of one name.
 };
 
+/// @brief Which prompts a target is kept for.
+enum class PromptKind : std::uint8_t {
+  Any,   ///< The service has too few targets to part them.
+  Short, ///< All but the longest.
+  Long,
+};
+
 /// @brief A target with this VM's view of it.
 ///
 /// Invariant: `InProgress` is what this VM has sent there and not seen end; it
@@ -38,6 +45,7 @@
   std::uint32_t Failures = 0; ///< In a row.
   Instant PauseDeadline{};    ///< Until then others go first.
   Instant FullDeadline{};     ///< It refused for want of room; until then.
+  PromptKind Keeps = PromptKind::Any;
 
   [[nodiscard]] bool missing() const noexcept {
     return DropDeadline != Instant::max();
--- a/src/goldcrestnotch/backend/target_set.cpp
+++ b/src/goldcrestnotch/backend/target_set.cpp
@@ -27,6 +27,10 @@
 /// A target in another failure domain costs a hop; breaks ties only.
 static constexpr double FarCost = 1;
 
+/// A target on the other side of the line between long and short prompts costs
+/// as much as so many milliseconds of waiting.
+static constexpr double ApartCost = 250;
+
 /// Shorter prompts say little of how fast an engine reads.
 static constexpr std::int64_t LeastLearnt = 4'000;
 /// Weight of one observation.
@@ -45,7 +49,14 @@
                    One.Told.Name) == Wanted.Excluded.end();
 }
 
-double TargetSet::cost(Instant Now, const Target &One) const {
+bool TargetSet::apart(const Target &One, const Wish &Wanted) const {
+  const auto Kind =
+      Wanted.Size >= Reading.LongPrompt ? PromptKind::Long : PromptKind::Short;
+  return Wanted.Size > 0 && One.Keeps != PromptKind::Any && One.Keeps != Kind;
+}
+
+double TargetSet::cost(Instant Now, const Target &One,
+                       const Wish &Wanted) const {
   double Result = static_cast<double>(One.InProgress) * internal::RequestCost;
   Result +=
       static_cast<double>(std::max(One.ReadDeadline - Now, Millis{0}).count());
@@ -53,6 +64,7 @@
   Result += Now < One.FullDeadline ? internal::FullCost : 0;
   Result += One.missing() ? internal::MissingCost : 0;
   Result += One.Told.Domain == Own ? 0 : internal::FarCost;
+  Result += apart(One, Wanted) ? internal::ApartCost : 0;
   return Result;
 }
 
@@ -71,14 +83,15 @@
     if (!usable(*One, Wanted)) {
       continue;
     }
-    const double Cost = cost(Now, *One);
+    const double Cost = cost(Now, *One, Wanted);
     Sum += static_cast<double>(One->InProgress);
     Count += 1;
     if (!Best || Cost < BestCost) {
       Best = One;
       BestCost = Cost;
     }
-    if (Wanted.Affinity.empty() || Cost >= internal::MissingCost) {
+    if (Wanted.Affinity.empty() || Cost >= internal::MissingCost ||
+        apart(*One, Wanted)) {
       continue;
     }
     const auto Score = rendezvous(Wanted.Affinity, One->Told.Name.str());
@@ -96,7 +109,8 @@
   const bool Crowded =
       static_cast<double>(Affine->InProgress) >
       internal::AffinityRatio * Sum / Count + internal::AffinitySlack;
-  return cost(Now, *Affine) <= BestCost + Worth && !Crowded ? Affine : Best;
+  return cost(Now, *Affine, Wanted) <= BestCost + Worth && !Crowded ? Affine
+                                                                    : Best;
 }
 
 void TargetSet::dropPredecessor(const Registration &Told) {
@@ -125,12 +139,32 @@
     return;
   }
   if (At) {
-    std::erase(Rows[At->Told.Serves], At);
+    auto &Before = Rows[At->Told.Serves];
+    std::erase(Before, At);
+    divide(Before);
   }
   At = std::make_shared<Target>();
   Hashes[hashOf(Told.Name.str())] = Told.Name;
   At->Told = std::move(Told);
-  Rows[At->Told.Serves].push_back(At);
+  auto &Served = Rows[At->Told.Serves];
+  Served.push_back(At);
+  divide(Served);
+}
+
+void TargetSet::divide(const Row &Served) const {
+  std::vector<std::pair<std::uint64_t, Target *>> Order;
+  Order.reserve(Served.size());
+  for (const auto &One : Served) {
+    Order.emplace_back(hashOf(One->Told.Name.str()), One.get());
+  }
+  std::sort(Order.begin(), Order.end());
+  const auto Long = static_cast<std::size_t>(static_cast<double>(Order.size()) *
+                                             Reading.LongPart);
+  for (std::size_t I = 0; I < Order.size(); ++I) {
+    Order[I].second->Keeps = Long == 0  ? PromptKind::Any
+                             : I < Long ? PromptKind::Long
+                                        : PromptKind::Short;
+  }
 }
 
 void TargetSet::erase(Instant Now, const TargetId &Name, bool Outage) {
@@ -173,7 +207,9 @@
     if (Now < Entry.second->DropDeadline) {
       return false;
     }
-    std::erase(Rows[Entry.second->Told.Serves], Entry.second);
+    auto &Served = Rows[Entry.second->Told.Serves];
+    std::erase(Served, Entry.second);
+    divide(Served);
     Hashes.erase(hashOf(Entry.first.str()));
     return true;
   });
--- a/src/goldcrestnotch/backend/target_set.hpp
+++ b/src/goldcrestnotch/backend/target_set.hpp
@@ -54,6 +54,12 @@
   /// A target that holds the shared part of a prompt is preferred though it
   /// is busy for this many times what reading that part takes.
   double AffinityFactor = 12;
+  /// While an engine reads a prompt of so many tokens, its other streams pause
+  /// for longer than callers accept.
+  std::int64_t LongPrompt = 24'000;
+  /// Part of a service's targets that read such prompts, and others only when
+  /// the rest is busy.
+  double LongPart = 0.17;
 };
 
 /// @brief The targets by name and service. No I/O, no clock.
@@ -93,7 +99,13 @@
 
   void dropPredecessor(const Registration &Told);
   [[nodiscard]] static bool usable(const Target &One, const Wish &Wanted);
-  [[nodiscard]] double cost(Instant Now, const Target &One) const;
+  /// @brief Whether a target is kept for prompts of another length.
+  [[nodiscard]] bool apart(const Target &One, const Wish &Wanted) const;
+  [[nodiscard]] double cost(Instant Now, const Target &One,
+                            const Wish &Wanted) const;
+  /// @brief Marks which targets of a service read long prompts; all VMs find
+  /// the same ones.
+  void divide(const Row &Served) const;
 
   DomainId Own;
   VanishTimes Times;
--- a/test/goldcrestnotch/backend/target_set_test.cpp
+++ b/test/goldcrestnotch/backend/target_set_test.cpp
@@ -3,6 +3,9 @@
 
 #include "goldcrestnotch/backend/target_set.hpp"
 
+#include <set>
+#include <string>
+
 #include <gtest/gtest.h>
 
 namespace goldcrestnotch::backend {
@@ -134,5 +137,63 @@
             "");
 }
 
+/// @brief Twelve engines, and requests that stay there.
+class LongPrompts : public testing::Test {
+protected:
+  LongPrompts() {
+    for (char Name = 'a'; Name < 'a' + 12; ++Name) {
+      Known.emplace(told(std::string{Name}.c_str()));
+    }
+  }
+
+  /// @brief Sends requests and says where they went.
+  std::set<std::string> send(int Count, std::int64_t Size) {
+    std::set<std::string> Result;
+    for (int I = 0; I < Count; ++I) {
+      const auto To = Known.pick(Start, {Engines, {}, {}, Size, 0});
+      ++To->InProgress;
+      Known.read(Start, To->Told.Name, Size);
+      Result.insert(To->Told.Name.str());
+    }
+    return Result;
+  }
+
+  static constexpr std::int64_t Long = 30'000;
+  static constexpr std::int64_t Short = 1'000;
+  TargetSet Known{DomainId{"near"}};
+};
+
+TEST_F(LongPrompts, ShareNoTargetWithShortOnes) {
+  const auto Longs = send(2, Long);
+  const auto Shorts = send(50, Short);
+  EXPECT_EQ(Shorts.size(), 10U);
+  for (const auto &One : Longs) {
+    EXPECT_FALSE(Shorts.contains(One));
+  }
+}
+
+TEST_F(LongPrompts, GoElsewhereWhileTheirTargetsAreBusy) {
+  EXPECT_GT(send(20, Long).size(), 2U);
+}
+
+TEST_F(LongPrompts, TargetsOfTheirOwnChangeWithTheService) {
+  const auto Longs = send(1, Long);
+  Known.erase(Start, TargetId{*Longs.begin()}, false);
+  Known.expire(Start + Millis{10'000});
+  EXPECT_FALSE(send(1, Long).contains(*Longs.begin()));
+  EXPECT_EQ(send(60, Short).size(), 10U); // Of eleven, one is kept.
+}
+
+TEST_F(TargetSetTest, LongPromptsKeepTheirAffinityInASmallService) {
+  const Wish Long{Engines, "prefix", {}, 30'000, 5'000};
+  const auto First = pick(Start, Long);
+  Known.read(Start, TargetId{First}, 6'000);
+  EXPECT_EQ(pick(Start, Long), First);
+}
+
+TEST_F(LongPrompts, RequestsWithoutAPromptUseAllTargets) {
+  EXPECT_EQ(send(24, 0).size(), 12U);
+}
+
 } // namespace
 } // namespace goldcrestnotch::backend
--- a/test/goldcrestnotch/escrow/gate_test.cpp
+++ b/test/goldcrestnotch/escrow/gate_test.cpp
@@ -56,5 +56,13 @@
   EXPECT_LT(On.refusedAfter(), Patience / 2);
 }
 
+TEST(Gate, RefusesAtOnceWhatOthersWillNotLend) {
+  Bare On;
+  On.StoreUp = false;
+  On.Way.lendBy([](boost::asio::yield_context, const WorkspaceId &, Tokens,
+                   Instant) { return false; });
+  EXPECT_LT(On.refusedAfter(), Patience / 2);
+}
+
 } // namespace
 } // namespace goldcrestnotch::escrow
