--- a/src/goldcrestnotch/escrow/gate.hpp
+++ b/src/goldcrestnotch/escrow/gate.hpp
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <memory>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/spawn.hpp>
@@ -79,8 +78,6 @@
 private:
   /// The store answers within this when it is well.
   static constexpr Millis StoreWait{30};
-  /// Other VMs are asked for so long for one shortage.
-  static constexpr Millis LoanWait{3'000};
   /// At most one line about refusals of a workspace in this time.
   static constexpr Millis LinePause{1'000};
 
@@ -103,40 +100,16 @@
     Hurry();
   }
 
-  /// @brief What became of asking other VMs.
-  struct Asking {
-    bool Done = false;
-    bool Awaited = false; ///< By the request that began it.
-  };
-
-  /// @brief Asks other VMs, then reserves. Asking goes on after the request has
-  /// given up: on a full link the answer comes late, and helps those that
-  /// follow.
+  /// @brief Asks other VMs, then reserves.
   [[nodiscard]] Admission borrow(boost::asio::yield_context Yield,
                                  const Wish &What) {
     if (!Borrow) {
       return Admission::Short;
     }
-    const auto State = std::make_shared<Asking>();
-    boost::asio::spawn(News.get_executor(),
-                       [this, State, Name = What.Name,
-                        Bound = What.Bound](boost::asio::yield_context Ask) {
-                         const auto Until = DecisionClock::now() + LoanWait;
-                         const bool Given = Borrow(Ask, Name, Bound, Until);
-                         State->Done = true;
-                         if (Given || State->Awaited) {
-                           notify();
-                         }
-                       });
-    State->Awaited = true;
-    auto Result = reserve(What);
-    while (!State->Done && Result == Admission::Short &&
-           DecisionClock::now() < What.Until) {
-      awaitNews(Yield, What.Until);
-      Result = reserve(What);
+    if (Borrow(Yield, What.Name, What.Bound, What.Until)) {
+      notify(); // Others may wait for tokens of the same workspace.
     }
-    State->Awaited = false;
-    return Result;
+    return reserve(What);
   }
 
   /// @brief Whether enough of the budget is in nobody's hands.
--- a/src/goldcrestnotch/escrow/loans.cpp
+++ b/src/goldcrestnotch/escrow/loans.cpp
@@ -16,12 +16,11 @@
 
 /// VMs asked for one shortage: as many as hold a workspace's tokens ahead.
 static constexpr std::size_t MostAsked = 8;
-/// A VM of the same region takes a connection within this, also behind a link
-/// that is full.
-static constexpr Millis ConnectWait{500};
+/// A VM of the same region takes a connection within this.
+static constexpr Millis ConnectWait{60};
 /// A loan whose answer is not awaited is lost to both, so a full link is waited
 /// for.
-static constexpr Millis AnswerWait{1'500};
+static constexpr Millis AnswerWait{500};
 /// After asking in vain, nobody is asked for as much for this long.
 static constexpr Millis VainPause{200};
 
