--- a/test/sanitizer/coroutine_stack.cpp
+++ b/test/sanitizer/coroutine_stack.cpp
@@ -35,8 +35,7 @@
   char Name[NoName];
   void *Begin = nullptr;
   std::size_t Bytes = 0;
-  const char *Kind =
-      __asan_locate_address(&Here, Name, NoName, &Begin, &Bytes);
+  const char *Kind = __asan_locate_address(&Here, Name, NoName, &Begin, &Bytes);
   const bool OnHeap = Kind != nullptr && Kind[0] == 'h';
   if (OnHeap) {
     __asan_unpoison_memory_region(Begin, Bytes);
