--- a/src/goldcrestnotch/proxy/caller_link.cpp
+++ b/src/goldcrestnotch/proxy/caller_link.cpp
@@ -58,7 +58,8 @@
 } // namespace internal
 
 ReadEnd CallerLink::read(asio::yield_context Yield,
-                         const routing::CallerLimits &Limits) {
+                         const routing::CallerLimits &Limits,
+                         const LoopDelay &Delay) {
   boost::system::error_code Failure;
   Started = false;
   if (Buffer.size() == 0) {
@@ -75,7 +76,7 @@
   Parser.body_limit(Limits.BodyBytes);
   Socket.expires_after(Limits.HeadWait);
   wire::async_read_header(Socket, Buffer, Parser, Yield[Failure]);
-  Arrival = DecisionClock::now();
+  Arrival = Delay.arrival(DecisionClock::now(), std::exchange(Fresh, false));
   if (!Failure && !Parser.is_done()) {
     Socket.expires_after(Limits.IdleWait);
     wire::async_read(Socket, Buffer, Parser, Yield[Failure]);
@@ -97,24 +98,27 @@
   }
   Watching = true;
   auto Self = shared_from_this();
-  Socket.socket().async_wait(
-      tcp::socket::wait_read, [Self](const boost::system::error_code &Failure) {
-        Self->Watching = false;
-        if (Failure) {
-          return;
-        }
-        char Byte = 0;
-        boost::system::error_code Peek;
-        Self->Socket.socket().non_blocking(true, Peek);
-        const auto Count = Self->Socket.socket().receive(
-            asio::buffer(&Byte, 1), tcp::socket::message_peek, Peek);
-        const bool Closed =
-            Peek ? Peek != asio::error::would_block : Count == 0;
-        if (Closed && Self->OnGone) {
-          Self->Gone = true;
-          Self->OnGone();
-        }
-      });
+  Socket.socket().async_wait(tcp::socket::wait_read,
+                             [Self](const boost::system::error_code &Failure) {
+                               Self->Watching = false;
+                               if (Failure) {
+                                 return;
+                               }
+                               if (Self->left() && Self->OnGone) {
+                                 Self->OnGone();
+                               }
+                             });
+}
+
+bool CallerLink::left() {
+  char Byte = 0;
+  boost::system::error_code Peek;
+  Socket.socket().non_blocking(true, Peek);
+  const auto Count = Socket.socket().receive(asio::buffer(&Byte, 1),
+                                             tcp::socket::message_peek, Peek);
+  const bool Closed = Peek ? Peek != asio::error::would_block : Count == 0;
+  Gone = Gone || Closed;
+  return Gone;
 }
 
 void CallerLink::unwatch() { OnGone = nullptr; }
--- a/src/goldcrestnotch/proxy/caller_link.hpp
+++ b/src/goldcrestnotch/proxy/caller_link.hpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "goldcrestnotch/proxy/link.hpp"
+#include "goldcrestnotch/proxy/loop_delay.hpp"
 #include "goldcrestnotch/routing/configuration.hpp"
 
 namespace goldcrestnotch::proxy {
@@ -39,18 +40,22 @@
 
   [[nodiscard]] Stream &stream() noexcept { return Socket; }
   [[nodiscard]] const WireRequest &request() const noexcept { return Asked; }
-  /// @brief When the head of the request had been read.
+  /// @brief When the request was there to be read, as far as is known.
   [[nodiscard]] Instant arrival() const noexcept { return Arrival; }
-  /// @brief Whether the caller has closed the connection.
+  /// @brief Whether the caller was seen to close the connection.
   [[nodiscard]] bool gone() const noexcept { return Gone; }
+  /// @brief Looks whether the caller has closed the connection.
+  [[nodiscard]] bool left();
   /// @brief Whether the answer's head has been sent.
   [[nodiscard]] bool started() const noexcept { return Started; }
   /// @brief Whether the connection may carry another request.
   [[nodiscard]] bool keeps() const noexcept { return Keep; }
 
   /// @brief Reads the next request.
+  /// @param Delay Tells how long the request waited to be read.
   [[nodiscard]] ReadEnd read(boost::asio::yield_context Yield,
-                             const routing::CallerLimits &Limits);
+                             const routing::CallerLimits &Limits,
+                             const LoopDelay &Delay);
   /// @brief Calls back once if the caller closes before `unwatch`.
   void watch(std::function<void()> OnGone);
   void unwatch();
@@ -75,6 +80,7 @@
   WireRequest Asked;
   Instant Arrival{};
   std::function<void()> OnGone;
+  bool Fresh = true; ///< No request has been read.
   bool Watching = false;
   bool Gone = false;
   bool Started = false;
--- a/src/goldcrestnotch/proxy/environment.hpp
+++ b/src/goldcrestnotch/proxy/environment.hpp
@@ -16,6 +16,7 @@
 #include "goldcrestnotch/escrow/gate.hpp"
 #include "goldcrestnotch/proxy/dialect.hpp"
 #include "goldcrestnotch/proxy/link.hpp"
+#include "goldcrestnotch/proxy/loop_delay.hpp"
 #include "goldcrestnotch/rollout/shift.hpp"
 #include "goldcrestnotch/routing/route_table.hpp"
 #include "goldcrestnotch/telemetry/metrics.hpp"
@@ -39,6 +40,7 @@
   std::map<routing::ServiceId, Shift> Moves; ///< The last of each service.
   /// Tells other VMs that a target gets a prompt; may be empty.
   std::function<void(const TargetId &, std::int64_t)> Announce;
+  LoopDelay Delay;
   std::mt19937_64 Random{std::random_device{}()};
 
   /// @brief A number in [0, 1).
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -30,6 +30,8 @@
 static constexpr Millis BudgetWait{250};
 /// An answer's way to the caller, taken off its deadline.
 static constexpr Millis AnswerMargin{15};
+/// Answers of targets take so long at the least.
+static constexpr Millis LeastWork{20};
 /// A caller without a deadline is served for as long as its route allows.
 static constexpr Millis DefaultTimeout{30'000};
 /// A resumable stream that is silent for so long goes on at another target.
@@ -263,6 +265,11 @@
   std::from_chars(Resume.data(), Resume.data() + Resume.size(), After);
   Events = EventFramer{After};
   return true;
+  if (!Shared.Delay.reaches(DecisionClock::now(), Until, internal::LeastWork)) {
+    From.closeAfter(); // The caller may choose another VM.
+    refuse(503, "loop_delayed", comeBack());
+    return false;
+  }
 }
 
 bool Exchange::authenticate() {
@@ -372,7 +379,8 @@
       return TryEnd::Unreachable;
     }
   }
-  if (From.gone()) {
+  // Waiting for tokens or a connection may have outlasted the caller.
+  if (From.left()) {
     return TryEnd::CallerGone;
   }
   Upstream Try{Over, outgoing(To->Told, DecisionClock::now()), To, Yield};
--- a/src/goldcrestnotch/proxy/listener.cpp
+++ b/src/goldcrestnotch/proxy/listener.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -19,6 +20,11 @@
 
 namespace internal {
 
+/// Between two probes of the loop's delay.
+static constexpr Millis ProbeEvery{100};
+/// Connections taken in one turn: a loop that is behind would otherwise take
+/// one a turn, while callers give up after a second.
+static constexpr int MostAccepts = 32;
 /// Between two looks at a full house, or after a failed accept.
 static constexpr Millis AcceptPause{20};
 /// For an error's text to be taken by a caller that sent a bad request.
@@ -47,6 +53,18 @@
 void Listener::start() {
   asio::spawn(Shared.Loop,
               [this](asio::yield_context Yield) { accept(Yield); });
+  asio::spawn(Shared.Loop, [this](asio::yield_context Yield) { probe(Yield); });
+}
+
+void Listener::probe(asio::yield_context Yield) {
+  asio::steady_timer Pause{Shared.Loop};
+  while (true) {
+    Pause.expires_after(internal::ProbeEvery);
+    Pause.async_wait(Yield);
+    Shared.Delay.begin(DecisionClock::now());
+    asio::post(Shared.Loop, Yield);
+    Shared.Delay.end(DecisionClock::now());
+  }
 }
 
 void Listener::close() {
@@ -68,24 +86,43 @@
       Pause.async_wait(Yield);
       continue;
     }
-    boost::system::error_code Ignored; // Costs a delay at most.
-    From->stream().socket().set_option(tcp::no_delay(true), Ignored);
-    ++Connections;
-    asio::spawn(Shared.Loop, [this, From](asio::yield_context Serve) {
-      serve(From, Serve);
-      --Connections;
-    });
+    welcome(From);
+    acceptReady();
+  }
+}
+
+void Listener::acceptReady() {
+  boost::system::error_code Failure;
+  Acceptor.non_blocking(true, Failure);
+  for (int I = 0;
+       !Failure && I < internal::MostAccepts && Connections < MostConnections;
+       ++I) {
+    auto From = std::make_shared<CallerLink>(Shared.Loop);
+    Acceptor.accept(From->stream().socket(), Failure);
+    if (!Failure) {
+      welcome(From);
+    }
   }
 }
 
+void Listener::welcome(const std::shared_ptr<CallerLink> &From) {
+  boost::system::error_code Ignored; // Costs a delay at most.
+  From->stream().socket().set_option(tcp::no_delay(true), Ignored);
+  ++Connections;
+  asio::spawn(Shared.Loop, [this, From](asio::yield_context Serve) {
+    serve(From, Serve);
+    --Connections;
+  });
+}
+
 void Listener::serve(const std::shared_ptr<CallerLink> &From,
                      asio::yield_context Yield) {
   static const routing::CallerLimits Unconfigured;
   try {
     while (From->keeps()) {
       const auto Table = Shared.Table;
-      const auto End =
-          From->read(Yield, Table ? Table->source().Limits : Unconfigured);
+      const auto End = From->read(
+          Yield, Table ? Table->source().Limits : Unconfigured, Shared.Delay);
       if (End != ReadEnd::Whole) {
         reject(*From, End, Yield);
         break;
--- a/src/goldcrestnotch/proxy/listener.hpp
+++ b/src/goldcrestnotch/proxy/listener.hpp
@@ -30,6 +30,12 @@
 
 private:
   void accept(boost::asio::yield_context Yield);
+  /// @brief Takes a connection in.
+  void welcome(const std::shared_ptr<CallerLink> &From);
+  /// @brief Takes in what waits besides.
+  void acceptReady();
+  /// @brief Measures the loop's delay.
+  void probe(boost::asio::yield_context Yield);
   void serve(const std::shared_ptr<CallerLink> &From,
              boost::asio::yield_context Yield);
   void reject(CallerLink &From, ReadEnd End, boost::asio::yield_context Yield);
--- a/test/platform/fleet.hpp
+++ b/test/platform/fleet.hpp
@@ -179,18 +179,11 @@
 
   /// @brief Sends a request and reads the whole answer.
   [[nodiscard]] Got call(const Call &What, int Vm = 0) {
-    http::Request Asked;
-    Asked.Method = What.Path.starts_with("/stock") ? "GET" : "POST";
-    Asked.Path = What.Path;
-    Asked.Fields["Host"] = Host;
-    Asked.Fields["X-Goldcrestnotch-Attempt-Id"] = What.Id;
-    Asked.Fields["X-Goldcrestnotch-Deadline-Ms"] = What.DeadlineMs;
-    Asked.Fields["Authorization"] = "Bearer " + What.Key;
-    Asked.Fields["X-Goldcrestnotch-Tenant"] = "forged";
-    if (!What.Usage.empty()) {
-      Asked.Fields["X-Goldcrestnotch-Token-Usage"] = What.Usage;
-    }
-    return send(Asked, {address(Vm), CallerPort});
+    return send(requestOf(What), {address(Vm), CallerPort});
+  }
+  /// @brief Sends a request and closes the connection after a while.
+  void leave(const Call &What, int AfterMillis, int Vm = 0) {
+    (void)send(requestOf(What), {address(Vm), CallerPort}, AfterMillis);
   }
   /// @brief Asks a small server of a daemon.
   [[nodiscard]] Got ask(std::uint16_t Port, const std::string &Path,
@@ -252,14 +245,30 @@
            std::to_string(StoreWay.port()) + "\"\n";
   }
 
+  [[nodiscard]] static http::Request requestOf(const Call &What) {
+    http::Request Asked;
+    Asked.Method = What.Path.starts_with("/stock") ? "GET" : "POST";
+    Asked.Path = What.Path;
+    Asked.Fields["Host"] = Host;
+    Asked.Fields["X-Goldcrestnotch-Attempt-Id"] = What.Id;
+    Asked.Fields["X-Goldcrestnotch-Deadline-Ms"] = What.DeadlineMs;
+    Asked.Fields["Authorization"] = "Bearer " + What.Key;
+    Asked.Fields["X-Goldcrestnotch-Tenant"] = "forged";
+    if (!What.Usage.empty()) {
+      Asked.Fields["X-Goldcrestnotch-Token-Usage"] = What.Usage;
+    }
+    return Asked;
+  }
+
   [[nodiscard]] Got send(const http::Request &Asked,
-                         const http::Endpoint &Where) {
+                         const http::Endpoint &Where,
+                         int PatienceMillis = 8'000) {
     Got Result;
     boost::asio::io_context Own;
     boost::asio::spawn(Own, [&](boost::asio::yield_context Yield) {
       try {
         http::Client Link{Yield, Where};
-        const auto Until = DecisionClock::now() + Millis{8'000};
+        const auto Until = DecisionClock::now() + Millis{PatienceMillis};
         const auto Opened = Link.open(Asked, Until);
         Result.Status = Opened->head().Status;
         Result.Fields = Opened->head().Fields;
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -258,6 +258,22 @@
 
 TEST(Platform, ConfigurationNeverGoesBack) {
   Fleet All;
+TEST(Platform, NothingIsSentForACallerWhoLeftWhileTokensWereAwaited) {
+  Fleet All;
+  ASSERT_TRUE(All.ready());
+  ASSERT_TRUE(All.eventually([&] { return All.call(Chat).Status == 200; }));
+  const auto Before = All.runs();
+  // More than is held ahead, and each call of the store takes some 100 ms.
+  All.StoreWay.Now = standin::FaultyLink::Mode::Slow;
+  auto Large = numbered(Chat, 7);
+  Large.Usage = "500000,60";
+  All.leave(Large, 40);
+  std::this_thread::sleep_for(std::chrono::milliseconds{800});
+  EXPECT_EQ(All.runs(), Before);
+  Large.Id = "a8";
+  EXPECT_TRUE(All.eventually([&] { return All.call(Large).Status == 200; }));
+}
+
   ASSERT_TRUE(All.ready());
   All.publish(5, 1'000'000, {"key-5"});
   auto Next = Order;
