Bound what a target or the store may send without end

Cause: an answer to another request was collected whole before it was passed over, up to 64 MB, a whole answer too, an event without its blank line without a bound; an answer of the store or of another VM that goes on coming was read on for as long as it came. Now: 4 MB a whole answer, 64 KB one that is passed over, 256 KB an event, 16 MB and 10 s past its time an answer of the store. The connection is closed, the caller is told 502 (it may have run), or its stream looks cut off. Tests: stand-in replicas answer with heads, bodies, late answers and events without end; what they can send is bounded and other requests are served. A head without end was bounded before (8 KB, by the parser).

--- a/src/goldcrestnotch/http/session.cpp
+++ b/src/goldcrestnotch/http/session.cpp
@@ -22,9 +22,12 @@
 
 namespace internal {
 
-static constexpr std::uint64_t MostBody = 64ULL * 1024 * 1024;
+/// The store's longest answer is a configuration of 4 MB as base64.
+static constexpr std::uint64_t MostBody = 16ULL * 1024 * 1024;
 /// An answer that has begun is given up after so long without another byte.
 static constexpr Millis StallWait{1'000};
+/// So long after it was due, an answer that still comes is given up, too.
+static constexpr Millis LongestLate{10'000};
 
 } // namespace internal
 
@@ -99,9 +102,11 @@
     wire::async_write(*Socket, Message, Yield[Failure]);
     wire::response_parser<wire::string_body> Parser;
     Parser.body_limit(internal::MostBody);
+    const auto Last = Until + internal::LongestLate;
     while (!Failure && !Parser.is_done()) {
       wire::async_read_some(*Socket, Buffer, Parser, Yield[Failure]);
-      expire(std::max(Until, DecisionClock::now() + internal::StallWait));
+      expire(std::max(
+          Until, std::min(DecisionClock::now() + internal::StallWait, Last)));
     }
     if (Failure) {
       throw failed("no answer from", Failure, Verdict::MayHaveRun);
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -50,7 +50,10 @@
 /// Late answers to other requests that are passed over on one connection.
 static constexpr int MostStale = 3;
 static constexpr std::size_t ReadBytes = 16'384;
-static constexpr std::size_t MostBody = 64U << 20U;
+/// A whole answer that is longer is no answer: a VM has 160 MB for all.
+static constexpr std::size_t MostBody = 4U << 20U;
+/// The same for an answer to another request, which is passed over.
+static constexpr std::size_t MostStaleBody = 64U << 10U;
 static constexpr std::string_view KeyScheme = "Bearer ";
 
 [[nodiscard]] static std::optional<Millis> millisOf(std::string_view Text) {
@@ -138,7 +141,8 @@
         return true;
       }
       std::string Discarded;
-      if (!readAll(Discarded) || !Answer->keep_alive()) {
+      if (!readAll(Discarded, internal::MostStaleBody) ||
+          !Answer->keep_alive()) {
         return false;
       }
     }
@@ -158,9 +162,10 @@
     return !Failure || Failure == wire::error::need_buffer;
   }
 
-  [[nodiscard]] bool readAll(std::string &Into) {
+  /// @return False if the connection fails, or more than `Most` comes.
+  [[nodiscard]] bool readAll(std::string &Into, std::size_t Most) {
     while (!Answer->is_done()) {
-      if (!readSome(Into) || Into.size() > internal::MostBody) {
+      if (!readSome(Into) || Into.size() > Most) {
         return false;
       }
     }
@@ -260,16 +265,16 @@
           internal::view(Asked[Shared.Names.DeadlineLeft]))) {
     Until = std::min(Until, From.arrival() + *Left - internal::AnswerMargin);
   }
-  std::uint64_t After = 0;
-  const auto Resume = internal::view(Asked[Shared.Names.ResumeAfter]);
-  std::from_chars(Resume.data(), Resume.data() + Resume.size(), After);
-  Events = EventFramer{After};
-  return true;
   if (!Shared.Delay.reaches(DecisionClock::now(), Until, internal::LeastWork)) {
     From.closeAfter(); // The caller may choose another VM.
     refuse(503, "loop_delayed", comeBack());
     return false;
   }
+  std::uint64_t After = 0;
+  const auto Resume = internal::view(Asked[Shared.Names.ResumeAfter]);
+  std::from_chars(Resume.data(), Resume.data() + Resume.size(), After);
+  Events = EventFramer{After};
+  return true;
 }
 
 bool Exchange::authenticate() {
@@ -417,7 +422,7 @@
   const bool Stated = Fields.find(Shared.Names.NotRun) != Fields.end();
   if (Over.status() == 421 || Stated) {
     std::string Discarded;
-    if (!Over.readAll(Discarded)) {
+    if (!Over.readAll(Discarded, internal::MostStaleBody)) {
       Over.link()->Socket.close();
     }
     Cause = "target_refused";
@@ -435,7 +440,7 @@
 
 TryEnd Exchange::passWhole(Upstream &Over) {
   std::string Body;
-  if (!Over.readAll(Body)) {
+  if (!Over.readAll(Body, internal::MostBody)) {
     Cause = "answer_broken";
     return DecisionClock::now() >= Until ? TryEnd::Expired : TryEnd::Lost;
   }
@@ -470,6 +475,10 @@
     if (Run.Count > 0) {
       noteEvents();
     }
+    if (Run.Endless) {
+      Cause = "event_endless";
+      return TryEnd::Lost;
+    }
     if (Run.Gap) {
       Cause = "event_missing";
       return TryEnd::Lost;
--- a/src/goldcrestnotch/stream/event_framer.hpp
+++ b/src/goldcrestnotch/stream/event_framer.hpp
@@ -16,11 +16,15 @@
   std::uint64_t Count = 0;  ///< Events that carry an id.
   std::uint64_t LastId = 0; ///< Of the last of these; zero if none.
   bool Gap = false;         ///< An id did not follow the one before.
+  bool Endless = false;     ///< An event goes on beyond the longest.
 };
 
 /// @brief Holds back the part of an event that is not complete.
 class EventFramer {
 public:
+  /// What is longer is no event.
+  static constexpr std::size_t MostEventBytes = 256U << 10U;
+
   /// @param After The id behind which the stream begins.
   explicit EventFramer(std::uint64_t After = 0) : Last{After} {}
 
@@ -41,6 +45,7 @@
       Begin = End;
     }
     Held.erase(0, Begin);
+    Result.Endless = Held.size() > MostEventBytes;
     return Result;
   }
 
--- a/standin/users_replica.cpp
+++ b/standin/users_replica.cpp
@@ -21,6 +21,8 @@
 
 constexpr const char *Attempt = "X-Goldcrestnotch-Attempt-Id";
 constexpr int TornEvent = 3;
+constexpr int LongHeadFields = 64;
+constexpr std::size_t NoiseBytes = 16U << 10U;
 
 [[noreturn]] void loseConnection() {
   throw boost::system::system_error{boost::asio::error::connection_reset};
@@ -97,6 +99,21 @@
     Talk.reply(Answer);
     return;
   }
+  if (Now == Mood::LongHead) {
+    for (int I = 0; I < LongHeadFields; ++I) {
+      Answer.Fields["X-Noise-" + std::to_string(I)] =
+          std::string(NoiseBytes, 'x');
+    }
+    Talk.reply(Answer);
+    return;
+  }
+  if (Now == Mood::Endless) {
+    makeNoise(Talk, Answer);
+  }
+  if (Now == Mood::StaleEndless) {
+    Answer.Fields[Attempt] = "another-request";
+    makeNoise(Talk, Answer);
+  }
   if (Now == Mood::Gibbering) {
     Response Stale = Answer;
     Stale.Fields[Attempt] = "another-request";
@@ -111,6 +128,15 @@
   Talk.reply(Answer);
 }
 
+void UsersReplica::makeNoise(Exchange &Talk, const Response &Head) {
+  Talk.start(Head);
+  const std::string Piece(NoiseBytes, 'x');
+  while (true) { // Until the caller closes: the write throws.
+    Talk.write(Piece);
+    Noise += Piece.size();
+  }
+}
+
 void UsersReplica::stream(Exchange &Talk, Response Head) {
   Head.Fields["Content-Type"] = "text/event-stream";
   const std::string After{Talk.request().field("Last-Event-Id")};
--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -22,11 +22,14 @@
   /// @brief What it does with requests.
   enum class Mood : std::uint8_t {
     Well,
-    Full,      ///< States that it ran nothing.
-    Failing,   ///< Runs, and answers 500.
-    Vanishing, ///< Runs, and closes without an answer.
-    Tearing,   ///< Breaks off in the middle of the third event.
-    Gibbering, ///< Answers with another request's id, then rightly.
+    Full,         ///< States that it ran nothing.
+    Failing,      ///< Runs, and answers 500.
+    Vanishing,    ///< Runs, and closes without an answer.
+    Tearing,      ///< Breaks off in the middle of the third event.
+    Gibbering,    ///< Answers with another request's id, then rightly.
+    LongHead,     ///< Answers with a head that goes on and on.
+    Endless,      ///< Answers with a body that never ends.
+    StaleEndless, ///< The same, with another request's id.
   };
 
   UsersReplica(boost::asio::io_context &Context, std::string Name,
@@ -43,6 +46,8 @@
   void reachBy(std::uint16_t Port) { Where.Port = Port; }
   /// @brief How often it ran the request of an attempt.
   [[nodiscard]] int runsOf(const std::string &Attempt) const;
+  /// @brief Bytes of endless answers that callers have taken.
+  [[nodiscard]] std::uint64_t noise() const noexcept { return Noise; }
   /// @brief Requests that it ran.
   [[nodiscard]] std::uint64_t runs() const noexcept { return Runs; }
   /// @brief Header fields of the last request that it ran.
@@ -53,6 +58,8 @@
   std::atomic<int> EventMs{1}; ///< Before each event.
 
 private:
+  [[noreturn]] void makeNoise(goldcrestnotch::http::Exchange &Talk,
+                              const goldcrestnotch::http::Response &Head);
   void handle(goldcrestnotch::http::Exchange &Talk);
   void stream(goldcrestnotch::http::Exchange &Talk,
               goldcrestnotch::http::Response Head);
@@ -60,6 +67,7 @@
   std::string Name;
   goldcrestnotch::http::Endpoint Where;
   std::atomic<std::uint64_t> Runs{0};
+  std::atomic<std::uint64_t> Noise{0};
   mutable std::mutex Mutex;
   goldcrestnotch::http::Headers Last;  ///< Guarded by `Mutex`.
   std::map<std::string, int> Attempts; ///< Runs of each; guarded by `Mutex`.
--- a/test/goldcrestnotch/stream/event_framer_test.cpp
+++ b/test/goldcrestnotch/stream/event_framer_test.cpp
@@ -20,6 +20,17 @@
   EXPECT_FALSE(Frames.partial());
 }
 
+TEST(EventFramer, EventWithoutEndIsSeen) {
+  EventFramer Frames;
+  EXPECT_FALSE(Frames.feed("id: 1\ndata: a\n\n").Endless);
+  const std::string Piece(16'384, 'x');
+  bool Seen = false;
+  for (int I = 0; I < 20 && !Seen; ++I) {
+    Seen = Frames.feed(Piece).Endless;
+  }
+  EXPECT_TRUE(Seen);
+}
+
 TEST(EventFramer, DropsThePartialEventOnAnotherConnection) {
   EventFramer Frames;
   (void)Frames.feed("id: 1\ndata: a\n\nid: 2\nda");
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -170,6 +170,50 @@
   }
 }
 
+/// Bytes of an endless answer that a VM and the kernel's buffers may take.
+constexpr std::uint64_t MostNoise = 24U << 20U;
+
+/// @brief An order gets bytes without end; the caller is told the truth, and
+/// other requests are served meanwhile.
+void meetsNoise(UsersReplica::Mood Mood) {
+  Fleet All{2};
+  ASSERT_TRUE(All.ready());
+  All.engine(0).Now = All.engine(1).Now = Mood;
+  auto Noisy = std::async(std::launch::async, [&] { return All.call(Order); });
+  EXPECT_EQ(Noisy.get().Status, 502);
+  EXPECT_EQ(All.runsOf(Order.Id), 1);
+  EXPECT_TRUE(All.eventually([&] {
+    const auto Before = All.engine(0).noise() + All.engine(1).noise();
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    return All.engine(0).noise() + All.engine(1).noise() == Before;
+  }));
+  EXPECT_LE(All.engine(0).noise() + All.engine(1).noise(), MostNoise);
+  All.engine(0).Now = All.engine(1).Now = UsersReplica::Mood::Well;
+  EXPECT_TRUE(All.eventually(
+      [&] { return All.call(numbered(Order, 5)).Status == 200; }));
+}
+
+TEST(Platform, HeadWithoutEndIsCutOff) {
+  meetsNoise(UsersReplica::Mood::LongHead);
+}
+
+TEST(Platform, BodyWithoutEndIsCutOff) {
+  meetsNoise(UsersReplica::Mood::Endless);
+}
+
+TEST(Platform, AnswerToAnotherRequestWithoutEndIsCutOff) {
+  meetsNoise(UsersReplica::Mood::StaleEndless);
+}
+
+TEST(Platform, EventWithoutEndIsCutOff) {
+  Fleet All{2};
+  ASSERT_TRUE(All.ready());
+  All.engine(0).Now = All.engine(1).Now = UsersReplica::Mood::Endless;
+  const auto Got = All.call(Chat);
+  EXPECT_FALSE(Got.Status == 200 && Got.Whole);
+  EXPECT_LE(All.engine(0).noise() + All.engine(1).noise(), MostNoise);
+}
+
 TEST(Platform, LeavingReplicaGetsNothingMore) {
   Fleet All;
   ASSERT_TRUE(All.ready());
@@ -214,6 +258,22 @@
   EXPECT_TRUE(All.eventually([&] { return All.call(Chat, 1).Status == 200; }));
 }
 
+TEST(Platform, NothingIsSentForACallerWhoLeftWhileTokensWereAwaited) {
+  Fleet All;
+  ASSERT_TRUE(All.ready());
+  ASSERT_TRUE(All.eventually([&] { return All.call(Chat).Status == 200; }));
+  const auto Before = All.runs();
+  // More than is held ahead, and each call of the store takes some 100 ms.
+  All.StoreWay.Now = standin::FaultyLink::Mode::Slow;
+  auto Large = numbered(Chat, 7);
+  Large.Usage = "500000,60";
+  All.leave(Large, 40);
+  std::this_thread::sleep_for(std::chrono::milliseconds{800});
+  EXPECT_EQ(All.runs(), Before);
+  Large.Id = "a8";
+  EXPECT_TRUE(All.eventually([&] { return All.call(Large).Status == 200; }));
+}
+
 TEST(Platform, LostAnswersOfTheStoreDoNoHarm) {
   Fleet All{1, 2};
   constexpr int Cost = 100 + 5 * 6;
@@ -258,22 +318,6 @@
 
 TEST(Platform, ConfigurationNeverGoesBack) {
   Fleet All;
-TEST(Platform, NothingIsSentForACallerWhoLeftWhileTokensWereAwaited) {
-  Fleet All;
-  ASSERT_TRUE(All.ready());
-  ASSERT_TRUE(All.eventually([&] { return All.call(Chat).Status == 200; }));
-  const auto Before = All.runs();
-  // More than is held ahead, and each call of the store takes some 100 ms.
-  All.StoreWay.Now = standin::FaultyLink::Mode::Slow;
-  auto Large = numbered(Chat, 7);
-  Large.Usage = "500000,60";
-  All.leave(Large, 40);
-  std::this_thread::sleep_for(std::chrono::milliseconds{800});
-  EXPECT_EQ(All.runs(), Before);
-  Large.Id = "a8";
-  EXPECT_TRUE(All.eventually([&] { return All.call(Large).Status == 200; }));
-}
-
   ASSERT_TRUE(All.ready());
   All.publish(5, 1'000'000, {"key-5"});
   auto Next = Order;
