Tell callers refused in an outage to come back when it may be over

Ruled out: refusals while the store answers (16 to 530 of some 3,000 in 2 s, nearly all of them within the two cuts of all VMs). ComeBack.RefusesCallersOfAnOutageLessOften plays an outage of 8.5 s.

--- a/src/goldcrestnotch/proxy/environment.hpp
+++ b/src/goldcrestnotch/proxy/environment.hpp
@@ -40,6 +40,8 @@
   std::map<routing::ServiceId, Shift> Moves; ///< The last of each service.
   /// Tells other VMs that a target gets a prompt; may be empty.
   std::function<void(const TargetId &, std::int64_t)> Announce;
+  /// How long the store has not answered; zero while it does.
+  std::function<Millis()> StoreAway;
   LoopDelay Delay;
   std::mt19937_64 Random{std::random_device{}()};
 
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -13,6 +13,7 @@
 #include <boost/beast/http.hpp>
 
 #include "goldcrestnotch/core/error.hpp"
+#include "goldcrestnotch/escrow/come_back.hpp"
 #include "goldcrestnotch/telemetry/log.hpp"
 #include "goldcrestnotch/telemetry/request_log.hpp"
 
@@ -311,7 +312,8 @@
     refuse(402, "budget_exhausted");
     return false;
   case escrow::Admission::Short:
-    refuse(503, "budget_elsewhere", comeBack() * 2);
+    refuse(503, "budget_elsewhere",
+           escrow::comeBackAfter(Shared.StoreAway(), Shared.draw()));
     return false;
   }
   return false;
