Log when a target begins to state a rate limit, and how much was sent to it

A response that states a limit is now logged at the first one and at the end, with the number of requests that this VM sent meanwhile, and counted. No decision uses it yet.

--- a/src/goldcrestnotch/backend/target.hpp
+++ b/src/goldcrestnotch/backend/target.hpp
@@ -4,9 +4,11 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 
 #include "goldcrestnotch/core/id.hpp"
 #include "goldcrestnotch/core/instant.hpp"
+#include "goldcrestnotch/core/request_rate.hpp"
 #include "goldcrestnotch/http/message.hpp"
 #include "goldcrestnotch/routing/configuration.hpp"
 
@@ -48,6 +50,11 @@
   Instant FullUntil{};   ///< It refused a request for lack of capacity; other
                          ///< targets are preferred until then.
   PromptKind ReservedFor = PromptKind::Any;
+  /// Requests that the target takes from all VMs together, as it stated last;
+  /// nothing while it states none.
+  std::optional<RequestRate> RateLimit;
+  /// Requests that this VM has sent to it since it began to state a limit.
+  std::uint64_t SentWhileLimited = 0;
 
   /// @brief Whether the registration has disappeared from the registry.
   [[nodiscard]] bool missing() const noexcept {
--- a/src/goldcrestnotch/core/fwd.hpp
+++ b/src/goldcrestnotch/core/fwd.hpp
@@ -9,6 +9,7 @@
 
 template <typename Tag> class Id;
 class Tokens;
+class RequestRate;
 class Error;
 enum class Verdict : std::uint8_t;
 
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -126,6 +126,7 @@
   [[nodiscard]] std::shared_ptr<TargetConnection> connection() noexcept {
     return Connection;
   }
+  [[nodiscard]] backend::Target &target() noexcept { return *Target; }
   /// @brief Header fields of the response.
   [[nodiscard]] const WireFields &fields() const { return Response->get(); }
   [[nodiscard]] int status() const {
@@ -468,6 +469,7 @@
                                             : AttemptResult::ResponseLost;
   }
   TimeToFirstByte = DecisionClock::now() - AttemptSent;
+  recordRateLimit(Remote);
   const auto &Fields = Remote.fields();
   const bool NotExecuted =
       Fields.find(Context.Headers.NotExecuted) != Fields.end();
@@ -491,6 +493,25 @@
   return forwardBuffered(Remote);
 }
 
+void Exchange::recordRateLimit(Upstream &Remote) {
+  auto &Target = Remote.target();
+  const auto Stated = RequestRate::parse(
+      internal::view(Remote.fields()[Context.Headers.RateLimit]));
+  if (Stated.has_value() != Target.RateLimit.has_value()) {
+    log(LogLevel::Info, Stated ? "target.limited" : "target.unlimited",
+        {{"target", Target.Registered.Name.str()},
+         {"per_second", Stated ? Stated->perSecond() : 0.0},
+         {"sent_while_limited",
+          static_cast<std::int64_t>(Target.SentWhileLimited)}});
+    Target.SentWhileLimited = 0;
+  }
+  Target.RateLimit = Stated;
+  if (Stated) {
+    ++Target.SentWhileLimited;
+    Context.Measured.count("limited_target_requests_total");
+  }
+}
+
 AttemptResult Exchange::forwardBuffered(Upstream &Remote) {
   std::string Body;
   if (!Remote.readAll(Body, internal::MaxBodyBytes)) {
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -56,6 +56,9 @@
   /// @brief Chooses a target for the next attempt.
   /// @return Null if there is none.
   [[nodiscard]] std::shared_ptr<backend::Target> chooseTarget(Instant Now);
+  /// @brief Records the rate limit that the head of a response states, or that
+  /// it states none.
+  void recordRateLimit(Upstream &Remote);
   /// @brief Updates the target's backoff and the evidence of a traffic shift.
   void recordResult(backend::Target &Target, AttemptResult Result);
   /// @brief Ends the request as decided after the last attempt.
--- a/src/goldcrestnotch/proxy/header_names.hpp
+++ b/src/goldcrestnotch/proxy/header_names.hpp
@@ -36,6 +36,8 @@
   std::string ExpectedTarget;  ///< The only target that may run the request.
   std::string NotExecuted;     ///< Set by a target that did not run a request.
   std::string TargetSignature; ///< Proves that the target sent the response.
+  std::string RateLimit;       ///< Requests per second that a target takes
+                               ///< from all VMs together.
   std::string Workspace;       ///< Workspace of the key that the caller used.
   std::string Priority;        ///< Order among an engine's requests, 0 first.
   std::string LastEventId;     ///< Id of the last event that was received.
