--- a/standin/users_replica.cpp
+++ b/standin/users_replica.cpp
@@ -3,6 +3,7 @@
 
 #include "users_replica.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 
 #include <boost/asio/error.hpp>
@@ -12,6 +13,7 @@
 
 namespace standin {
 
+using goldcrestnotch::DecisionClock;
 using goldcrestnotch::http::Endpoint;
 using goldcrestnotch::http::Exchange;
 using goldcrestnotch::http::Headers;
@@ -20,6 +22,7 @@
 namespace {
 
 constexpr const char *AttemptHeader = "X-Goldcrestnotch-Attempt-Id";
+constexpr const char *RateLimitHeader = "Server-Limit";
 constexpr int TruncatedEvent = 3;
 constexpr int OversizedHeadFields = 64;
 constexpr std::size_t PieceBytes = 16U << 10U;
@@ -64,6 +67,18 @@
   return LastHeaders;
 }
 
+std::size_t UsersReplica::mostArrivals(goldcrestnotch::Millis Window,
+                                       goldcrestnotch::Instant Since) const {
+  const std::lock_guard Lock{Mutex};
+  std::size_t Most = 0;
+  for (auto First = std::lower_bound(Arrivals.begin(), Arrivals.end(), Since);
+       First != Arrivals.end(); ++First) {
+    const auto End = std::lower_bound(First, Arrivals.end(), *First + Window);
+    Most = std::max(Most, static_cast<std::size_t>(End - First));
+  }
+  return Most;
+}
+
 int UsersReplica::runsOf(const std::string &AttemptId) const {
   const std::lock_guard Lock{Mutex};
   const auto It = RunsByAttempt.find(AttemptId);
@@ -75,6 +90,13 @@
   Response Reply;
   Reply.Fields[AttemptHeader] = std::string{Request.field(AttemptHeader)};
   Reply.Fields["Keep-Alive"] = "timeout=5";
+  if (const double Stated = RateLimit; Stated > 0) {
+    Reply.Fields[RateLimitHeader] = std::to_string(Stated);
+  }
+  {
+    const std::lock_guard Lock{Mutex};
+    Arrivals.push_back(DecisionClock::now());
+  }
   if (Request.field("X-Goldcrestnotch-Expect-Replica") != Name) {
     Reply.Status = 421;
     HttpExchange.reply(Reply);
--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -5,13 +5,16 @@
 #pragma once
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
 
+#include "goldcrestnotch/core/instant.hpp"
 #include "goldcrestnotch/http/server.hpp"
 
 namespace standin {
@@ -55,10 +58,17 @@
   }
   /// @brief Returns the number of executed requests.
   [[nodiscard]] std::uint64_t runs() const noexcept { return Runs; }
+  /// @brief Returns the largest number of requests, executed or not, that
+  /// arrived within a window after an instant.
+  [[nodiscard]] std::size_t mostArrivals(goldcrestnotch::Millis Window,
+                                         goldcrestnotch::Instant Since) const;
   /// @brief Returns the header fields of the last executed request.
   [[nodiscard]] goldcrestnotch::http::Headers lastHeaders() const;
 
   std::atomic<Behavior> CurrentBehavior{Behavior::Normal};
+  /// Requests per second that the replica states in its responses; it states
+  /// none if this is zero.
+  std::atomic<double> RateLimit{0};
   std::atomic<int> Events{5};
   std::atomic<int> EventDelayMs{1}; ///< Delay before each event.
 
@@ -75,8 +85,9 @@
   std::atomic<std::uint64_t> Runs{0};
   std::atomic<std::uint64_t> EndlessBytes{0};
   mutable std::mutex Mutex;
-  goldcrestnotch::http::Headers LastHeaders; ///< Guarded by `Mutex`.
-  std::map<std::string, int> RunsByAttempt;  ///< Guarded by `Mutex`.
+  goldcrestnotch::http::Headers LastHeaders;    ///< Guarded by `Mutex`.
+  std::map<std::string, int> RunsByAttempt;     ///< Guarded by `Mutex`.
+  std::deque<goldcrestnotch::Instant> Arrivals; ///< Guarded by `Mutex`.
   goldcrestnotch::http::Server Listener;
 };
 
