Permits keep all VMs together within the rate that a target states

Two VMs by rendezvous hashing are issuers of each limited target and issue permits at half of the limit each. All VMs learn the limit from a response, a notice or the issuers, and send there with a permit only. A refused VM prefers other targets; without another one a request waits at most half of its latency objective and is refused at once if no permit comes by then.

--- a/src/goldcrestnotch/backend/target.hpp
+++ b/src/goldcrestnotch/backend/target.hpp
@@ -53,6 +53,9 @@
   /// Requests that the target takes from all VMs together, as it stated last;
   /// nothing while it states none.
   std::optional<RequestRate> RateLimit;
+  Instant RateLimitLearned{}; ///< When this VM learned or lost the limit.
+  /// It is not asked for a permit before, while other targets are available.
+  Instant PermitRetry{};
   /// Requests that this VM has sent to it since it began to state a limit.
   std::uint64_t SentWhileLimited = 0;
 
--- a/src/goldcrestnotch/backend/target_set.cpp
+++ b/src/goldcrestnotch/backend/target_set.cpp
@@ -26,6 +26,9 @@
 static constexpr double PausedCost = 1e6;
 /// Cost of a target that recently refused a request for lack of capacity.
 static constexpr double FullCost = 1e5;
+/// Cost of a target with a rate limit for which a permit was refused. It is
+/// below that of a full target, since a permit may come after a short wait.
+static constexpr double NoPermitCost = 5e4;
 /// Cost of a target whose registration is missing.
 static constexpr double MissingCost = 1e4;
 /// Cost of the network hop to another failure domain; only breaks ties.
@@ -45,6 +48,21 @@
   return It == Targets.end() ? nullptr : It->second;
 }
 
+std::shared_ptr<Target> TargetSet::find(std::uint64_t NameHash) const {
+  const auto It = NamesByHash.find(NameHash);
+  return It == NamesByHash.end() ? nullptr : find(It->second);
+}
+
+std::vector<std::shared_ptr<Target>> TargetSet::limitedTargets() const {
+  std::vector<std::shared_ptr<Target>> Result;
+  for (const auto &[Name, Candidate] : Targets) {
+    if (Candidate->RateLimit) {
+      Result.push_back(Candidate);
+    }
+  }
+  return Result;
+}
+
 bool TargetSet::eligible(const Target &Candidate,
                          const TargetRequest &Request) {
   return !Candidate.Registered.Leaving &&
@@ -70,6 +88,9 @@
       std::max(Candidate.PrefillEnd - Now, Millis{0}).count());
   Result += Now < Candidate.PausedUntil ? internal::PausedCost : 0;
   Result += Now < Candidate.FullUntil ? internal::FullCost : 0;
+  Result += Candidate.RateLimit && Now < Candidate.PermitRetry
+                ? internal::NoPermitCost
+                : 0;
   Result += Candidate.missing() ? internal::MissingCost : 0;
   Result +=
       Candidate.Registered.Domain == OwnDomain ? 0 : internal::OtherDomainCost;
--- a/src/goldcrestnotch/backend/target_set.hpp
+++ b/src/goldcrestnotch/backend/target_set.hpp
@@ -78,6 +78,11 @@
   /// @brief Finds a target by name.
   /// @return Null if the name is unknown.
   [[nodiscard]] std::shared_ptr<Target> find(const TargetId &Name) const;
+  /// @brief Finds a target by the hash of its name.
+  /// @return Null if the hash is unknown.
+  [[nodiscard]] std::shared_ptr<Target> find(std::uint64_t NameHash) const;
+  /// @brief The targets that state a rate limit.
+  [[nodiscard]] std::vector<std::shared_ptr<Target>> limitedTargets() const;
   /// @brief Chooses a target for a request.
   /// @return Null if no target of the service is eligible.
   [[nodiscard]] std::shared_ptr<Target>
--- a/src/goldcrestnotch/escrow/loans.hpp
+++ b/src/goldcrestnotch/escrow/loans.hpp
@@ -29,7 +29,8 @@
   static constexpr const char *Path = "/v1/lend";
 
   Loans(boost::asio::io_context &Loop, Shards &Partitions,
-        roster::Homes &WorkspaceHomes, AdmissionGate &Gate, Metrics &Counters)
+        roster::Homes<WorkspaceId> &WorkspaceHomes, AdmissionGate &Gate,
+        Metrics &Counters)
       : Connections{Loop}, Partitions{Partitions},
         WorkspaceHomes{WorkspaceHomes}, Gate{Gate}, Counters{Counters} {}
 
@@ -88,7 +89,7 @@
 
   LoanConnections Connections;
   Shards &Partitions;
-  roster::Homes &WorkspaceHomes;
+  roster::Homes<WorkspaceId> &WorkspaceHomes;
   AdmissionGate &Gate;
   Metrics &Counters;
   BudgetLookup Budgets;
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -10,6 +10,7 @@
 #include <limits>
 #include <utility>
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
 
 #include "goldcrestnotch/core/error.hpp"
@@ -29,6 +30,10 @@
 static constexpr Millis ConnectTimeout{250};
 /// Limit for obtaining budget tokens that other VMs hold.
 static constexpr Millis BudgetTimeout{250};
+/// Limit for waiting until a target with a rate limit may get a request, also
+/// as a fraction (1/N) of the latency objective of its route.
+static constexpr Millis MaxPermitWait{250};
+static constexpr int ObjectivePerPermitWait = 2;
 /// Time that a response takes to reach the caller, subtracted from the
 /// caller's deadline.
 static constexpr Millis ResponseMargin{15};
@@ -361,10 +366,9 @@
   Context.RetryBudget.observeRequest(DecisionClock::now(), Service);
   auto Step = NextStep::Retry;
   while (Step == NextStep::Retry) {
-    const auto Now = DecisionClock::now();
-    const auto Target = chooseTarget(Now);
+    const auto Target = chooseTarget();
     if (!Target) {
-      Cause = "no_target";
+      Cause = PermitWait ? "targets_limited" : "no_target";
       // There is no other target, so the last result is final.
       State.MaxAttempts = State.Sent;
       Step = State.Sent == 0 ? NextStep::Reject : nextStep(State, LastResult);
@@ -388,18 +392,67 @@
   conclude(Step);
 }
 
-std::shared_ptr<backend::Target> Exchange::chooseTarget(Instant Now) {
+std::shared_ptr<backend::Target> Exchange::chooseTarget() {
   backend::TargetRequest Wanted{
       Service,
       Prompt && MatchedRoute->PrefixAffinity ? Prompt->SharedPrefix
                                              : std::string_view{},
       TriedTargets, Prompt ? Prompt->Input.count() : 0,
       Prompt ? Prompt->SharedInput.count() : 0};
+  const auto WaitDeadline = permitDeadline();
+  const double VersionDraw = Context.draw();
+  while (auto Target = pickTarget(Wanted, VersionDraw)) {
+    if (!Target->RateLimit) {
+      return Target;
+    }
+    const auto Now = DecisionClock::now();
+    // A target whose permit was refused is picked again only if no other one is
+    // available, so the request waits for a permit.
+    const bool LastResort = Now < Target->PermitRetry || Now >= WaitDeadline;
+    const auto Permit = Context.Permits.acquire(
+        Yield, *Target,
+        LastResort ? std::max(WaitDeadline - Now, Millis{0}) : Millis{0});
+    if (Permit.Granted) {
+      waitFor(Permit.Wait);
+      // The target may have left during the wait.
+      if (!Target->Registered.Leaving &&
+          Context.Targets.find(Target->Registered.Name) == Target) {
+        return Target;
+      }
+    }
+    if (LastResort) {
+      Wanted.Excluded.push_back(Target->Registered.Name);
+      PermitWait = std::min(PermitWait.value_or(Permit.Wait), Permit.Wait);
+    }
+  }
+  return nullptr;
+}
+
+Instant Exchange::permitDeadline() const {
+  const auto Objective = MatchedRoute->LatencyObjective;
+  const auto Limit =
+      Objective > Millis{0}
+          ? std::min(Objective / internal::ObjectivePerPermitWait,
+                     internal::MaxPermitWait)
+          : internal::MaxPermitWait;
+  return std::min(DecisionClock::now() + Limit, Deadline - internal::MinWork);
+}
+
+void Exchange::waitFor(Millis Duration) {
+  if (Duration > Millis{0}) {
+    asio::steady_timer Timer{Context.Loop, Duration};
+    Timer.async_wait(Yield);
+  }
+}
+
+std::shared_ptr<backend::Target>
+Exchange::pickTarget(backend::TargetRequest &Wanted, double VersionDraw) {
+  const auto Now = DecisionClock::now();
   const auto ShiftEntry = Context.TrafficShifts.find(Service);
   if (ShiftEntry == Context.TrafficShifts.end()) {
     return Context.Targets.pick(Now, Wanted);
   }
-  const bool UseNew = ShiftEntry->second.chooses(Context.draw());
+  const bool UseNew = ShiftEntry->second.chooses(VersionDraw);
   Wanted.Version = {ShiftEntry->second.version(), UseNew};
   auto Target = Context.Targets.pick(Now, Wanted);
   if (!Target && ShiftEntry->second.end() == MoveOutcome::InProgress) {
@@ -438,6 +491,7 @@
                   Target, Yield};
   Caller.watch([Connection] { Connection->Socket.close(); });
   ++State.Sent;
+  Target->SentWhileLimited += Target->RateLimit ? 1 : 0;
   const bool MayHaveRunBefore = std::exchange(State.MayHaveRun, true);
   if (Prompt) {
     const auto InputTokens = Prompt->Input.count();
@@ -494,21 +548,16 @@
 }
 
 void Exchange::recordRateLimit(Upstream &Remote) {
-  auto &Target = Remote.target();
-  const auto Stated = RequestRate::parse(
-      internal::view(Remote.fields()[Context.Headers.RateLimit]));
-  if (Stated.has_value() != Target.RateLimit.has_value()) {
-    log(LogLevel::Info, Stated ? "target.limited" : "target.unlimited",
-        {{"target", Target.Registered.Name.str()},
-         {"per_second", Stated ? Stated->perSecond() : 0.0},
-         {"sent_while_limited",
-          static_cast<std::int64_t>(Target.SentWhileLimited)}});
-    Target.SentWhileLimited = 0;
-  }
-  Target.RateLimit = Stated;
-  if (Stated) {
-    ++Target.SentWhileLimited;
-    Context.Measured.count("limited_target_requests_total");
+  const auto &Fields = Remote.fields();
+  const auto Stated =
+      RequestRate::parse(internal::view(Fields[Context.Headers.RateLimit]));
+  // Another target that answers at the address says nothing about this one, nor
+  // does a response without a signature.
+  const bool FromTarget =
+      Stated ? Remote.status() != 421
+             : !Fields[Context.Headers.TargetSignature].empty();
+  if (FromTarget) {
+    Context.Permits.observe(Remote.target(), Stated, AttemptSent);
   }
 }
 
@@ -695,7 +744,11 @@
     }
     return;
   case NextStep::Reject:
-    reject(503, Cause, retryDelay());
+    // Callers that are told the same delay must not return at the same moment.
+    reject(503, Cause,
+           std::max(retryDelay(), std::chrono::duration_cast<Millis>(
+                                      PermitWait.value_or(Millis{0}) *
+                                      (1.0 + Context.draw()))));
     return;
   case NextStep::ForwardFailure:
     ResponseStatus = FailureStatus;
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -53,9 +53,18 @@
   [[nodiscard]] AttemptResult relayStream(Upstream &Remote);
   /// @brief Forwards a response after all of it has been received.
   [[nodiscard]] AttemptResult forwardBuffered(Upstream &Remote);
-  /// @brief Chooses a target for the next attempt.
+  /// @brief Chooses a target for the next attempt, and obtains a permit if it
+  /// has a rate limit.
   /// @return Null if there is none.
-  [[nodiscard]] std::shared_ptr<backend::Target> chooseTarget(Instant Now);
+  [[nodiscard]] std::shared_ptr<backend::Target> chooseTarget();
+  /// @brief Picks a target of the version that the request goes to.
+  /// @param VersionDraw Decides the version while the service moves to another.
+  /// @return Null if none is eligible.
+  [[nodiscard]] std::shared_ptr<backend::Target>
+  pickTarget(backend::TargetRequest &Wanted, double VersionDraw);
+  /// @brief Until when the request may wait for a permit.
+  [[nodiscard]] Instant permitDeadline() const;
+  void waitFor(Millis Duration);
   /// @brief Records the rate limit that the head of a response states, or that
   /// it states none.
   void recordRateLimit(Upstream &Remote);
@@ -100,6 +109,9 @@
   Millis LongestEventGap{0};
   AttemptState State;
   std::vector<TargetId> TriedTargets;
+  /// Shortest time until a target could get the request; nothing unless a
+  /// permit was refused and no other target was left.
+  std::optional<Millis> PermitWait;
   AttemptResult LastResult = AttemptResult::Completed;
   int FailureStatus = 0; ///< Status of the last server error of a target.
   WireFields FailureFields;
--- a/src/goldcrestnotch/proxy/proxy_context.hpp
+++ b/src/goldcrestnotch/proxy/proxy_context.hpp
@@ -17,6 +17,7 @@
 #include "goldcrestnotch/proxy/header_names.hpp"
 #include "goldcrestnotch/proxy/loop_delay.hpp"
 #include "goldcrestnotch/proxy/target_connection.hpp"
+#include "goldcrestnotch/ratelimit/permits.hpp"
 #include "goldcrestnotch/rollout/traffic_shift.hpp"
 #include "goldcrestnotch/routing/route_table.hpp"
 #include "goldcrestnotch/telemetry/metrics.hpp"
@@ -31,6 +32,7 @@
   backend::RetryBudget &RetryBudget;
   ConnectionPool &Connections;
   escrow::AdmissionGate &Budgets;
+  ratelimit::Permits &Permits;
   Metrics &Measured;
   /// Null until the first configuration has been received.
   std::shared_ptr<const routing::RouteTable> Table;
--- a/src/goldcrestnotch/roster/fwd.hpp
+++ b/src/goldcrestnotch/roster/fwd.hpp
@@ -5,7 +5,7 @@
 
 namespace goldcrestnotch::roster {
 
-class Homes;
+template <typename Key> class Homes;
 class Roster;
 struct MemberRecord;
 struct MoveEvidence;
--- a/src/goldcrestnotch/roster/homes.cpp
+++ b/src/goldcrestnotch/roster/homes.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// Ranks the live VMs for each workspace by weighted rendezvous hashing.
+/// Ranks the live VMs for each resource by weighted rendezvous hashing.
 
 #include "goldcrestnotch/roster/homes.hpp"
 
@@ -14,12 +14,11 @@
 
 namespace internal {
 
-/// @brief Weighted rendezvous score of a VM for a workspace; the lowest scores
+/// @brief Weighted rendezvous score of a VM for a resource; the lowest scores
 /// become homes. The weight is the square of the VM's processor share, because
 /// small VMs need their processor time for callers.
-[[nodiscard]] static double scoreOf(const WorkspaceId &Workspace,
-                                    const LiveVm &Vm) {
-  const auto Hash = rendezvous(Workspace.str(), Vm.Address);
+[[nodiscard]] static double scoreOf(const std::string &Name, const LiveVm &Vm) {
+  const auto Hash = rendezvous(Name, Vm.Address);
   const double UnitHash =
       (static_cast<double>(Hash) + 1.0) /
       static_cast<double>(std::numeric_limits<std::uint64_t>::max());
@@ -29,16 +28,18 @@
 
 } // namespace internal
 
-const std::vector<std::string> &
-Homes::otherHomes(const WorkspaceId &Workspace) {
-  return assignment(Workspace).Others;
+template <typename Key>
+const std::vector<std::string> &Homes<Key>::otherHomes(const Key &Name) {
+  return assignment(Name).Others;
 }
 
-bool Homes::isHome(const WorkspaceId &Workspace) {
-  return assignment(Workspace).SelfIsHome;
+template <typename Key> bool Homes<Key>::isHome(const Key &Name) {
+  return assignment(Name).SelfIsHome;
 }
 
-void Homes::update(std::vector<LiveVm> NewLiveVms, std::size_t NewHomeCount) {
+template <typename Key>
+void Homes<Key>::update(std::vector<LiveVm> NewLiveVms,
+                        std::size_t NewHomeCount) {
   if (NewLiveVms == LiveVms && NewHomeCount == HomeCount) {
     return;
   }
@@ -47,15 +48,16 @@
   Assignments.clear();
 }
 
-const Homes::Assignment &Homes::assignment(const WorkspaceId &Workspace) {
-  const auto [It, Inserted] = Assignments.try_emplace(Workspace);
+template <typename Key>
+const typename Homes<Key>::Assignment &Homes<Key>::assignment(const Key &Name) {
+  const auto [It, Inserted] = Assignments.try_emplace(Name);
   if (!Inserted) {
     return It->second;
   }
   std::vector<std::pair<double, const LiveVm *>> Ranking;
   Ranking.reserve(LiveVms.size());
   for (const auto &Vm : LiveVms) {
-    Ranking.emplace_back(internal::scoreOf(Workspace, Vm), &Vm);
+    Ranking.emplace_back(internal::scoreOf(Name.str(), Vm), &Vm);
   }
   const auto Chosen = std::min(HomeCount, Ranking.size());
   std::partial_sort(Ranking.begin(),
@@ -73,7 +75,7 @@
   // and the loss of one home loses only a part of the tokens held.
   auto &Others = It->second.Others;
   if (!Others.empty()) {
-    const auto First = rendezvous(Workspace.str(), Self) % Others.size();
+    const auto First = rendezvous(Name.str(), Self) % Others.size();
     std::rotate(Others.begin(),
                 Others.begin() + static_cast<std::ptrdiff_t>(First),
                 Others.end());
@@ -81,4 +83,7 @@
   return It->second;
 }
 
+template class Homes<WorkspaceId>;
+template class Homes<TargetId>;
+
 } // namespace goldcrestnotch::roster
--- a/src/goldcrestnotch/roster/roster.hpp
+++ b/src/goldcrestnotch/roster/roster.hpp
@@ -77,6 +77,29 @@
     }
     return Result;
   }
+  /// @brief VMs that the fleet takes to be up and not leaving, sorted by
+  /// address, as far as this VM can tell while the store does not answer it.
+  /// @details New records that arrive through other VMs show that a part of the
+  /// fleet still reaches the store. That part takes the VMs that write no
+  /// records for down, which may include this VM. Without new records, nobody
+  /// is known to reach the store, and all VMs that were up count.
+  [[nodiscard]] std::vector<LiveVm> liveVmsInOutage(Instant Now) const {
+    const bool OthersReachStore =
+        std::any_of(Members.begin(), Members.end(), [&](const auto &Entry) {
+          return Now - Entry.second.Observed < MaxRecordAgeInOutage;
+        });
+    if (!OthersReachStore) {
+      return liveVms(Now);
+    }
+    std::vector<LiveVm> Result;
+    for (const auto &[Vm, Entry] : Members) {
+      if (Now - Entry.Observed < SilenceTimeout && !Entry.Record.Leaving) {
+        Result.push_back(
+            {Vm, Entry.Record.ControlAddress, Entry.Record.CpuShare});
+      }
+    }
+    return Result;
+  }
   /// @brief Number of VMs that are up, leaving ones included.
   [[nodiscard]] std::size_t liveCount(Instant Now) const {
     std::size_t Count = 0;
@@ -116,7 +139,7 @@
     if (!Newer) {
       return;
     }
-    Entry = {Record, Now + SilenceTimeout};
+    Entry = {Record, Now + SilenceTimeout, Now};
   }
   /// @brief Extends the deadlines of VMs that were up when the store became
   /// unreachable: while nothing can be read, silence does not mean down.
@@ -130,9 +153,13 @@
   }
 
 private:
+  /// An outage shorter than this is not told from a slow store.
+  static constexpr Millis MaxRecordAgeInOutage{2'000};
+
   struct Member {
     MemberRecord Record;
     Instant DownDeadline{}; ///< Considered down from this time on.
+    Instant Observed{};     ///< When the newest record arrived.
   };
 
   [[nodiscard]] static bool alive(Instant Now, const Member &Entry) noexcept {
--- a/test/fuzz/decoders_test.cpp
+++ b/test/fuzz/decoders_test.cpp
@@ -13,6 +13,7 @@
 #include "goldcrestnotch/ledger/ledger_state.hpp"
 #include "goldcrestnotch/membership/membership_view.hpp"
 #include "goldcrestnotch/peer/message.hpp"
+#include "goldcrestnotch/ratelimit/message.hpp"
 #include "goldcrestnotch/rollout/move_table.hpp"
 #include "goldcrestnotch/stream/relay.hpp"
 
@@ -131,6 +132,21 @@
       [](const std::string &Text) { (void)decodePeer(Text); });
 }
 
+TEST(Fuzz, RateLimitMessages) {
+  const ratelimit::Message Inputs[] = {
+      ratelimit::PermitRequest{7, 9, RequestRate{3.5}, Millis{250}},
+      ratelimit::PermitResponse{7, {true, Millis{40}}},
+      ratelimit::LimitNotice{9, RequestRate{3.5}}};
+  for (const auto &Input : Inputs) {
+    expectOnlyDecodeErrors(
+        ratelimit::encode(Input), [](const std::string &Text) {
+          const auto *Bytes =
+              reinterpret_cast<const unsigned char *>(Text.data());
+          (void)ratelimit::decodeMessage({Bytes, Text.size()});
+        });
+  }
+}
+
 TEST(Fuzz, LiveLists) {
   expectOnlyDecodeErrors(
       R"({"vms":[{"vm":"a","domain":"d","entry":"127.0.0.1:1",
--- a/test/goldcrestnotch/escrow/loans_test.cpp
+++ b/test/goldcrestnotch/escrow/loans_test.cpp
@@ -49,7 +49,7 @@
   std::function<void()> OnWriteRequested;
   Metrics Counters;
   Shards Partitions;
-  roster::Homes WorkspaceHomes;
+  roster::Homes<WorkspaceId> WorkspaceHomes;
   AdmissionGate Gate;
   Loans Lending;
   std::uint64_t Offset = 0;
--- a/test/goldcrestnotch/roster/homes_test.cpp
+++ b/test/goldcrestnotch/roster/homes_test.cpp
@@ -28,7 +28,7 @@
 /// @brief Homes of a workspace as computed by a VM that is not in the fleet.
 std::set<std::string> homesOf(const std::vector<LiveVm> &LiveVms,
                               const WorkspaceId &Workspace) {
-  Homes Outsider{"10.9.9.9"};
+  Homes<WorkspaceId> Outsider{"10.9.9.9"};
   Outsider.update(LiveVms, HomeCount);
   const auto &Addresses = Outsider.otherHomes(Workspace);
   return {Addresses.begin(), Addresses.end()};
@@ -38,7 +38,7 @@
   const auto LiveVms = fleet(20);
   std::size_t VmsThatAreHome = 0;
   for (const auto &Vm : LiveVms) {
-    Homes View{Vm.Address};
+    Homes<WorkspaceId> View{Vm.Address};
     View.update(LiveVms, HomeCount);
     VmsThatAreHome += View.isHome(workspace(1)) ? 1 : 0;
     EXPECT_EQ(View.otherHomes(workspace(1)).size(),
--- a/test/goldcrestnotch/roster/roster_test.cpp
+++ b/test/goldcrestnotch/roster/roster_test.cpp
@@ -53,6 +53,27 @@
   EXPECT_EQ(Vms.callerAddresses(Start + Millis{20'000}).size(), 1U);
 }
 
+TEST(Roster, CutOffVmsAreDownToTheFleetWhoseRecordsStillArrive) {
+  const std::string CutOffVm{"10.0.0.2"};
+  Roster Vms{SilenceTimeout};
+  Vms.observe(Start, CutOffVm, record(1));
+  const auto Now = Start + SilenceTimeout;
+  Vms.observe(Now - Millis{500}, FirstVm, record(1));
+  Vms.extendDeadlines(Now, Start);
+  EXPECT_EQ(Vms.liveVms(Now).size(), 2U);
+  const auto Live = Vms.liveVmsInOutage(Now);
+  ASSERT_EQ(Live.size(), 1U);
+  EXPECT_EQ(Live.front().Address, FirstVm);
+}
+
+TEST(Roster, AllVmsCountInAnOutageThatNoRecordComesThrough) {
+  Roster Vms{SilenceTimeout};
+  Vms.observe(Start, FirstVm, record(1));
+  const auto Now = Start + Millis{8'000};
+  Vms.extendDeadlines(Now, Start);
+  EXPECT_EQ(Vms.liveVmsInOutage(Now).size(), 1U);
+}
+
 TEST(Roster, VmThatWasDownBeforeStaysDown) {
   Roster Vms{SilenceTimeout};
   Vms.observe(Start, FirstVm, record(1));
