A version that generates slowly is taken back: moves judge the time between events

Cause: TrafficShift judged the time to the first byte only. The new version's first event came after 90 to 250 ms, as the old one's; its events followed each other at 92 to 121 ms, those of the old one at 36 to 50 ms. The moves of the product's own interface judge both; the two copies of the judgement differed.

Both use one SlowResponseDetector now. Evidence: the daemon test fails on the code before (completed) and passes now; the unit test of the shift is new. runMove sends its requests at once, since the old code reached the number of requests that completes a move only then.

--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -61,6 +61,8 @@
 /// After a target refused a request because it was full, other targets are
 /// preferred for this long.
 static constexpr Millis FullBackoff{100};
+/// A stream with fewer events says little about the time between events.
+static constexpr std::uint64_t MinEventsForGap = 4;
 /// Largest number of late responses to earlier requests that are discarded on
 /// one connection.
 static constexpr int MaxStaleResponses = 3;
@@ -653,6 +655,16 @@
   LastEventTime = Now;
 }
 
+Millis Exchange::meanEventGap() const {
+  // The events of a resumed stream come from two targets.
+  const bool OneTarget = State.Sent == 1;
+  if (!OneTarget || EventsForwarded < internal::MinEventsForGap) {
+    return Millis{0};
+  }
+  return (LastEventTime - FirstEventTime) /
+         static_cast<std::int64_t>(EventsForwarded - 1);
+}
+
 void Exchange::recordResult(backend::Target &Target, AttemptResult Result) {
   const auto Now = DecisionClock::now();
   const bool MayHaveRun = Result == AttemptResult::Completed ||
@@ -661,9 +673,9 @@
                           Result == AttemptResult::DeadlineExceeded;
   if (const auto ShiftEntry = Context.TrafficShifts.find(Service);
       MayHaveRun && ShiftEntry != Context.TrafficShifts.end()) {
-    ShiftEntry->second.observe(MatchedRoute->Name, Target.Registered.Version,
-                               Result != AttemptResult::Completed,
-                               TimeToFirstByte);
+    ShiftEntry->second.observe({MatchedRoute->Name, Target.Registered.Version,
+                                Result != AttemptResult::Completed,
+                                TimeToFirstByte, meanEventGap()});
   }
   switch (Result) {
   case AttemptResult::Completed:
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -68,6 +68,8 @@
   /// @brief Records the rate limit that the head of a response states, or that
   /// it states none.
   void recordRateLimit(Upstream &Remote);
+  /// @brief Mean time between the events of the response; zero if unknown.
+  [[nodiscard]] Millis meanEventGap() const;
   /// @brief Updates the target's backoff and the evidence of a traffic shift.
   void recordResult(backend::Target &Target, AttemptResult Result);
   /// @brief Ends the request as decided after the last attempt.
--- a/src/goldcrestnotch/rollout/exposure_limiter.hpp
+++ b/src/goldcrestnotch/rollout/exposure_limiter.hpp
@@ -10,13 +10,14 @@
 #include "goldcrestnotch/core/instant.hpp"
 #include "goldcrestnotch/rollout/observation.hpp"
 #include "goldcrestnotch/rollout/record.hpp"
+#include "goldcrestnotch/rollout/slow_response_detector.hpp"
 
 namespace goldcrestnotch {
 
 /// @brief The local state of one move. No I/O, no clock.
 class ExposureLimiter {
 public:
-  explicit ExposureLimiter(Move Order) : Order{std::move(Order)} {}
+  explicit ExposureLimiter(Move Order);
 
   /// @brief Whether the new version may get a request.
   [[nodiscard]] bool allows(Instant Now) const noexcept {
@@ -40,27 +41,10 @@
   void markReported() noexcept { Unreported = UnreportedFault = false; }
 
 private:
-  /// @brief Moving average of a duration on the old version.
-  struct Baseline {
-    std::uint64_t Samples = 0;
-    double MeanMs = 0;
-
-    void add(Millis Sample);
-    /// @brief Whether a duration is too long compared to the average.
-    /// @param Ratio Multiple of the average that is too long.
-    /// @param Floor Durations up to this one are never too long.
-    /// @param Objective Used instead while there are too few samples.
-    [[nodiscard]] bool exceeded(Millis Sample, double Ratio, Millis Floor,
-                                Millis Objective) const;
-  };
-
-  [[nodiscard]] bool slow(const Observation &Result) const;
-
   Move Order;
   VersionCounts Old;
   VersionCounts New;
-  Baseline FirstByte;
-  Baseline EventGap;
+  SlowResponseDetector Detector;
   Instant PausedUntil{};
   Instant Deadline = Instant::max();
   std::uint32_t Pauses = 0; ///< Since the last good answer.
--- a/src/goldcrestnotch/rollout/fwd.hpp
+++ b/src/goldcrestnotch/rollout/fwd.hpp
@@ -11,5 +11,7 @@
 class MoveTable;
 class ExposureLimiter;
 class RolloutService;
+class SlowResponseDetector;
+class TrafficShift;
 
 } // namespace goldcrestnotch
--- a/src/goldcrestnotch/rollout/traffic_shift.cpp
+++ b/src/goldcrestnotch/rollout/traffic_shift.cpp
@@ -9,8 +9,6 @@
 
 namespace internal {
 
-/// Weight of one answer in the moving average of a version's time.
-static constexpr double SampleWeight = 0.05;
 /// A VM stops its own trial only if at least one in this many requests failed
 /// or was slow.
 static constexpr std::uint64_t MaxRequestsPerFault = 4;
@@ -32,25 +30,18 @@
   return !Stopped && Draw < Settings.TrialShare;
 }
 
-bool TrafficShift::slow(const RouteId &Route, Millis FirstByte) const {
-  const auto It = MeanMs.find(Route);
-  const auto Sample = static_cast<double>(FirstByte.count());
-  return It != MeanMs.end() && FirstByte > Settings.SlowFloor &&
-         Sample > It->second * Settings.SlowRatio;
-}
-
-void TrafficShift::observe(const RouteId &Route, const VersionId &Version,
-                           bool Failed, Millis FirstByte) {
-  const bool Slow = !Failed && slow(Route, FirstByte);
-  auto &Counts = Version == To ? New : Old;
+void TrafficShift::observe(const Observation &Result) {
+  auto &Detector = Detectors
+                       .try_emplace(Result.Route, Settings.SlowFirstByte,
+                                    Settings.SlowEventGap)
+                       .first->second;
+  const bool Slow = !Result.Failed && Detector.slow(Result);
+  auto &Counts = Result.Version == To ? New : Old;
   ++Counts.Requests;
-  Counts.Failed += Failed ? 1 : 0;
+  Counts.Failed += Result.Failed ? 1 : 0;
   Counts.Slow += Slow ? 1 : 0;
-  if (Version != To && !Failed) {
-    const auto Sample = static_cast<double>(FirstByte.count());
-    const auto [It, Inserted] = MeanMs.try_emplace(Route, Sample);
-    It->second +=
-        Inserted ? 0.0 : internal::SampleWeight * (Sample - It->second);
+  if (Result.Version != To && !Result.Failed) {
+    Detector.add(Result);
   }
 }
 
--- a/src/goldcrestnotch/rollout/traffic_shift.hpp
+++ b/src/goldcrestnotch/rollout/traffic_shift.hpp
@@ -11,7 +11,9 @@
 #include "goldcrestnotch/core/id.hpp"
 #include "goldcrestnotch/core/instant.hpp"
 #include "goldcrestnotch/rollout/move_table.hpp"
+#include "goldcrestnotch/rollout/observation.hpp"
 #include "goldcrestnotch/rollout/record.hpp"
+#include "goldcrestnotch/rollout/slow_response_detector.hpp"
 
 namespace goldcrestnotch {
 
@@ -28,11 +30,12 @@
   /// A VM stops its own trial at this many faults, if they are at least a
   /// quarter of its requests to the new version.
   std::uint64_t LocalFaults = 3;
-  /// Answers that take more than this multiple of the old version's mean time
-  /// are slow.
-  double SlowRatio = 3;
-  /// Answers that take no longer than this are never slow.
-  Millis SlowFloor{60};
+  /// The new version reads prompts that the old one has cached, so the limit on
+  /// the first byte is wide.
+  SlowDuration SlowFirstByte{3, Millis{60}, 1};
+  /// The limit on the time between events is narrow: the few requests of the
+  /// trial leave its engines less loaded than those of the old version.
+  SlowDuration SlowEventGap{2, Millis{8}};
 };
 
 /// @brief The state of one move of one service. No I/O, no clock.
@@ -57,8 +60,7 @@
   [[nodiscard]] bool chooses(double Draw) const noexcept;
 
   /// @brief Records the end of a request.
-  void observe(const RouteId &Route, const VersionId &Version, bool Failed,
-               Millis FirstByte);
+  void observe(const Observation &Result);
   /// @brief Evaluates the counts of all VMs.
   /// @return The outcome that is due. The caller publishes it and then calls
   /// `finish`.
@@ -70,8 +72,6 @@
   }
 
 private:
-  [[nodiscard]] bool slow(const RouteId &Route, Millis FirstByte) const;
-
   VersionId To;
   TrafficShiftSettings Settings;
   Instant Begin;
@@ -79,8 +79,8 @@
   MoveOutcome Outcome = MoveOutcome::InProgress;
   VersionCounts Old;
   VersionCounts New;
-  /// Moving average of the old version's time to the first byte.
-  std::map<RouteId, double> MeanMs;
+  /// Durations of the old version.
+  std::map<RouteId, SlowResponseDetector> Detectors;
   /// Counts of the new version at the last evaluation.
   VersionCounts Evaluated;
   FaultTest Failures;
--- a/test/goldcrestnotch/rollout/traffic_shift_test.cpp
+++ b/test/goldcrestnotch/rollout/traffic_shift_test.cpp
@@ -43,8 +43,8 @@
 TEST(TrafficShift, SlowVersionIsRolledBack) {
   auto Shift = startedShift();
   for (int I = 0; I < 20; ++I) {
-    Shift.observe(Chat, Old, false, Millis{100});
-    Shift.observe(Chat, New, false, Millis{500});
+    Shift.observe({Chat, Old, false, Millis{100}});
+    Shift.observe({Chat, New, false, Millis{500}});
   }
   EXPECT_EQ(Shift.newCounts().Slow, 20U);
   EXPECT_EQ(
@@ -52,10 +52,33 @@
       MoveOutcome::RolledBack);
 }
 
+TEST(TrafficShift, VersionThatBeginsInTimeAndGoesOnSlowlyIsRolledBack) {
+  auto Shift = startedShift();
+  for (int I = 0; I < 8; ++I) {
+    Shift.observe({Chat, Old, false, Millis{80}, Millis{40}});
+  }
+  for (int I = 0; I < 8; ++I) {
+    Shift.observe({Chat, New, false, Millis{90}, Millis{100}});
+  }
+  EXPECT_EQ(Shift.newCounts().Slow, 8U);
+  EXPECT_EQ(
+      Shift.evaluate(Start + Span / 10, Shift.oldCounts(), Shift.newCounts()),
+      MoveOutcome::RolledBack);
+}
+
+TEST(TrafficShift, ResponsesWithoutEventsSayNothingAboutTheirGaps) {
+  auto Shift = startedShift();
+  for (int I = 0; I < 8; ++I) {
+    Shift.observe({Chat, Old, false, Millis{80}, Millis{0}});
+    Shift.observe({Chat, New, false, Millis{80}, Millis{100}});
+  }
+  EXPECT_EQ(Shift.newCounts().Slow, 0U);
+}
+
 TEST(TrafficShift, VmStopsItsOwnTrialAtTheFirstFaults) {
   auto Shift = startedShift();
   for (int I = 0; I < 3; ++I) {
-    Shift.observe(Chat, New, true, Millis{0});
+    Shift.observe({Chat, New, true, Millis{0}});
   }
   EXPECT_FALSE(Shift.chooses(0.0));
 }
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -411,9 +411,9 @@
       TestFleet.eventually([&] { return CountAddresses() == 1; }, 1'500));
 }
 
-/// Starts a move to v2, which half of the replicas run, and sends idempotent
-/// requests until the move ends. Returns the final state of the move.
-std::string runMove(Fleet &TestFleet) {
+/// Starts a move to v2, which half of the replicas run, and sends requests
+/// until the move ends. Returns the final state of the move.
+std::string runMove(Fleet &TestFleet, const Call &Params = Stock) {
   for (const int Number : {2, 3}) {
     TestFleet.replica(Number).Version = "v2";
     TestFleet.registerReplica(TestFleet.replica(Number), "ready");
@@ -425,11 +425,15 @@
   int Sent = 0;
   EXPECT_TRUE(TestFleet.eventually(
       [&] {
-        for (int I = 0; I < 10; ++I) {
-          auto Request = Stock;
+        std::vector<std::future<CallResult>> Calls;
+        for (int I = 0; I < 40; ++I) {
+          auto Request = Params;
           Request.AttemptId = "m" + std::to_string(++Sent);
-          (void)TestFleet.call(Request);
+          Calls.push_back(std::async(std::launch::async, [&TestFleet, Request] {
+            return TestFleet.call(Request);
+          }));
         }
+        Calls.clear(); // Waits for all of them.
         const auto Status =
             TestFleet.Store.value("keyed.status", "rollout/engines");
         State = Status ? json::parse(*Status).at("state") : "";
@@ -471,6 +475,13 @@
   EXPECT_EQ(TestFleet.replica(2).runs() + TestFleet.replica(3).runs(), BadRuns);
 }
 
+TEST(Platform, VersionThatGeneratesSlowlyIsTakenBack) {
+  Fleet TestFleet{4};
+  ASSERT_TRUE(TestFleet.waitUntilReady());
+  TestFleet.replica(2).EventDelayMs = TestFleet.replica(3).EventDelayMs = 15;
+  EXPECT_EQ(runMove(TestFleet, Chat), "rolled_back");
+}
+
 TEST(Platform, MetricsAreServed) {
   Fleet TestFleet;
   ASSERT_TRUE(TestFleet.waitUntilReady());
