The trial of a version goes to as large a share of its targets as of the requests

Cause: 6 in 100 of the requests were spread over all 12 new targets, which stayed nearly idle. Their events followed each other at 97 ms, those of the loaded old version at 47 to 59 ms, below the limit of twice the mean. Nor could a version that is bad under load show it before it had taken over.

The trial now goes to the same share of the targets, the same ones for all VMs, so each of them gets as much as after the move; a paused, full or missing one is replaced.

A crash of the one target on trial may take a good version back; not measured.

--- a/src/goldcrestnotch/backend/target_set.cpp
+++ b/src/goldcrestnotch/backend/target_set.cpp
@@ -4,6 +4,8 @@
 #include "goldcrestnotch/backend/target_set.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
 #include <utility>
 
 #include "goldcrestnotch/core/hash.hpp"
@@ -98,6 +100,26 @@
   return Result;
 }
 
+TargetSet::TargetList TargetSet::shareOf(Instant Now, const TargetList &List,
+                                         const TargetRequest &Request) const {
+  TargetList Result;
+  std::copy_if(List.begin(), List.end(), std::back_inserter(Result),
+               [&](const std::shared_ptr<Target> &Candidate) {
+                 return eligible(*Candidate, Request);
+               });
+  const auto Count = static_cast<std::size_t>(std::ceil(
+      static_cast<double>(Result.size()) * Request.Version.TargetShare));
+  // Targets that are paused, full or missing are replaced by others.
+  const auto Rank = [&](const std::shared_ptr<Target> &Candidate) {
+    return std::pair{cost(Now, *Candidate, Request) >= internal::MissingCost,
+                     hashOf(Candidate->Registered.Name.str())};
+  };
+  std::sort(Result.begin(), Result.end(),
+            [&](const auto &A, const auto &B) { return Rank(A) < Rank(B); });
+  Result.resize(std::min(Count, Result.size()));
+  return Result;
+}
+
 std::shared_ptr<Target> TargetSet::pick(Instant Now,
                                         const TargetRequest &Request) const {
   const auto List = TargetsByService.find(Request.Service);
@@ -110,7 +132,10 @@
   std::uint64_t AffineScore = 0;
   double InProgressSum = 0;
   double Count = 0;
-  for (const auto &Candidate : List->second) {
+  const bool OnTrial = Request.Version.TargetShare < 1;
+  const auto Share =
+      OnTrial ? shareOf(Now, List->second, Request) : TargetList{};
+  for (const auto &Candidate : OnTrial ? Share : List->second) {
     if (!eligible(*Candidate, Request)) {
       continue;
     }
--- a/src/goldcrestnotch/backend/target_set.hpp
+++ b/src/goldcrestnotch/backend/target_set.hpp
@@ -30,6 +30,9 @@
 struct VersionFilter {
   VersionId Version;    ///< Empty if every version is allowed.
   bool Include = false; ///< True: only `Version`; false: all others.
+  /// Fraction of the version's targets that the request may go to, at least
+  /// one. All VMs choose the same ones.
+  double TargetShare = 1;
 
   [[nodiscard]] bool allows(const VersionId &Candidate) const noexcept {
     return Version.empty() || (Candidate == Version) == Include;
@@ -121,6 +124,10 @@
   /// @brief Whether a target may get a request at all.
   [[nodiscard]] static bool eligible(const Target &Candidate,
                                      const TargetRequest &Request);
+  /// @brief The eligible targets of a list, limited to the share of them that
+  /// the request asks for.
+  [[nodiscard]] TargetList shareOf(Instant Now, const TargetList &List,
+                                   const TargetRequest &Request) const;
   /// @brief Whether a target is reserved for prompts of another length.
   [[nodiscard]] bool reservedForOthers(const Target &Candidate,
                                        const TargetRequest &Request) const;
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -455,11 +455,13 @@
     return Context.Targets.pick(Now, Wanted);
   }
   const bool UseNew = ShiftEntry->second.chooses(VersionDraw);
-  Wanted.Version = {ShiftEntry->second.version(), UseNew};
+  Wanted.Version = {ShiftEntry->second.version(), UseNew,
+                    UseNew ? ShiftEntry->second.targetShare() : 1};
   auto Target = Context.Targets.pick(Now, Wanted);
   if (!Target && ShiftEntry->second.end() == MoveOutcome::InProgress) {
     // The chosen version has no available target, so use the other one.
-    Wanted.Version.Include = !UseNew;
+    Wanted.Version = {ShiftEntry->second.version(), !UseNew,
+                      UseNew ? 1 : ShiftEntry->second.targetShare()};
     Target = Context.Targets.pick(Now, Wanted);
   }
   return Target;
--- a/src/goldcrestnotch/rollout/traffic_shift.hpp
+++ b/src/goldcrestnotch/rollout/traffic_shift.hpp
@@ -33,8 +33,8 @@
   /// The new version reads prompts that the old one has cached, so the limit on
   /// the first byte is wide.
   SlowDuration SlowFirstByte{3, Millis{60}, 1};
-  /// The limit on the time between events is narrow: the few requests of the
-  /// trial leave its engines less loaded than those of the old version.
+  /// The limit on the time between events is narrow, since the engines of the
+  /// trial may be less loaded than those of the old version.
   SlowDuration SlowEventGap{2, Millis{8}};
 };
 
@@ -59,6 +59,14 @@
   /// @param Draw A random number, uniform in [0, 1).
   [[nodiscard]] bool chooses(double Draw) const noexcept;
 
+  /// @brief Fraction of the new version's targets that requests go to. On trial
+  /// it equals the share of requests, so each of these targets gets as much as
+  /// it will after the move: a version that is slow or fails under load shows
+  /// it, and its durations compare with those of the old one.
+  [[nodiscard]] double targetShare() const noexcept {
+    return Outcome == MoveOutcome::InProgress ? Settings.TrialShare : 1;
+  }
+
   /// @brief Records the end of a request.
   void observe(const Observation &Result);
   /// @brief Evaluates the counts of all VMs.
--- a/test/goldcrestnotch/backend/target_set_test.cpp
+++ b/test/goldcrestnotch/backend/target_set_test.cpp
@@ -199,5 +199,15 @@
   EXPECT_EQ(send(24, 0).size(), 12U);
 }
 
+TEST_F(TargetSetTest, TrialUsesTheShareOfTargetsAndReplacesAPausedOne) {
+  TargetRequest Request{Engines, {}, {}, 0, 0};
+  Request.Version = {VersionId{"v1"}, true, 0.3};
+  const auto First = pick(Start, Request);
+  Targets.find(TargetId{First})->InProgress = 50;
+  EXPECT_EQ(pick(Start, Request), First);
+  Targets.find(TargetId{First})->PausedUntil = Start + Millis{250};
+  EXPECT_NE(pick(Start, Request), First);
+}
+
 } // namespace
 } // namespace goldcrestnotch::backend
