Streams that go on count as evidence in a move after eight events

Cause: a stream counted when it had ended, so slow ones counted last, and those whose callers left never did.

--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -63,6 +63,8 @@
 static constexpr Millis FullBackoff{100};
 /// A stream with fewer events says little about the time between events.
 static constexpr std::uint64_t MinEventsForGap = 4;
+/// Events after which a stream counts as evidence about its target's version.
+static constexpr std::uint64_t EventsForEvidence = 8;
 /// Largest number of late responses to earlier requests that are discarded on
 /// one connection.
 static constexpr int MaxStaleResponses = 3;
@@ -507,6 +509,7 @@
   }
   AttemptSent = DecisionClock::now();
   TimeToFirstByte = Millis{0};
+  EvidenceRecorded = false;
   Remote.send(Deadline);
   const auto Result = receiveResponse(Remote);
   Caller.unwatch();
@@ -605,6 +608,11 @@
     if (Batch.Count > 0) {
       recordEventTimes();
     }
+    if (!EvidenceRecorded && State.Sent == 1 &&
+        EventsForwarded >= internal::EventsForEvidence) {
+      // A slow stream would tell of itself last.
+      recordEvidence(Remote.target(), false);
+    }
     if (Batch.Oversized) {
       Cause = "event_endless";
       return AttemptResult::ResponseLost;
@@ -667,17 +675,28 @@
          static_cast<std::int64_t>(EventsForwarded - 1);
 }
 
+void Exchange::recordEvidence(const backend::Target &Target, bool Failed) {
+  const auto ShiftEntry = Context.TrafficShifts.find(Service);
+  if (ShiftEntry == Context.TrafficShifts.end()) {
+    return;
+  }
+  auto &Shift = ShiftEntry->second;
+  if (!std::exchange(EvidenceRecorded, true)) {
+    Shift.observe({MatchedRoute->Name, Target.Registered.Version, Failed,
+                   TimeToFirstByte, meanEventGap()});
+  } else if (Failed) {
+    Shift.observeLateFailure(Target.Registered.Version);
+  }
+}
+
 void Exchange::recordResult(backend::Target &Target, AttemptResult Result) {
   const auto Now = DecisionClock::now();
   const bool MayHaveRun = Result == AttemptResult::Completed ||
                           Result == AttemptResult::Failed ||
                           Result == AttemptResult::ResponseLost ||
                           Result == AttemptResult::DeadlineExceeded;
-  if (const auto ShiftEntry = Context.TrafficShifts.find(Service);
-      MayHaveRun && ShiftEntry != Context.TrafficShifts.end()) {
-    ShiftEntry->second.observe({MatchedRoute->Name, Target.Registered.Version,
-                                Result != AttemptResult::Completed,
-                                TimeToFirstByte, meanEventGap()});
+  if (MayHaveRun) {
+    recordEvidence(Target, Result != AttemptResult::Completed);
   }
   switch (Result) {
   case AttemptResult::Completed:
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -70,6 +70,9 @@
   void recordRateLimit(Upstream &Remote);
   /// @brief Mean time between the events of the response; zero if unknown.
   [[nodiscard]] Millis meanEventGap() const;
+  /// @brief Records what the attempt says about the version of its target, if
+  /// the service moves to another version.
+  void recordEvidence(const backend::Target &Target, bool Failed);
   /// @brief Updates the target's backoff and the evidence of a traffic shift.
   void recordResult(backend::Target &Target, AttemptResult Result);
   /// @brief Ends the request as decided after the last attempt.
@@ -109,6 +112,8 @@
   Instant FirstEventTime{}; ///< The epoch if no event has been received.
   Instant LastEventTime{};
   Millis LongestEventGap{0};
+  /// The attempt counts as evidence about the version of its target.
+  bool EvidenceRecorded = false;
   AttemptState State;
   std::vector<TargetId> TriedTargets;
   /// Shortest time until a target could get the request; nothing unless a
--- a/src/goldcrestnotch/rollout/traffic_shift.cpp
+++ b/src/goldcrestnotch/rollout/traffic_shift.cpp
@@ -45,6 +45,10 @@
   }
 }
 
+void TrafficShift::observeLateFailure(const VersionId &Version) noexcept {
+  ++(Version == To ? New : Old).Failed;
+}
+
 MoveOutcome TrafficShift::evaluate(Instant Now, const VersionCounts &AllOld,
                                    const VersionCounts &AllNew) {
   if (Outcome != MoveOutcome::InProgress) {
--- a/src/goldcrestnotch/rollout/traffic_shift.hpp
+++ b/src/goldcrestnotch/rollout/traffic_shift.hpp
@@ -67,8 +67,10 @@
     return Outcome == MoveOutcome::InProgress ? Settings.TrialShare : 1;
   }
 
-  /// @brief Records the end of a request.
+  /// @brief Records a response that has ended or has told enough.
   void observe(const Observation &Result);
+  /// @brief Records that a response that was observed as good has failed.
+  void observeLateFailure(const VersionId &Version) noexcept;
   /// @brief Evaluates the counts of all VMs.
   /// @return The outcome that is due. The caller publishes it and then calls
   /// `finish`.
--- a/test/goldcrestnotch/rollout/traffic_shift_test.cpp
+++ b/test/goldcrestnotch/rollout/traffic_shift_test.cpp
@@ -75,6 +75,13 @@
   EXPECT_EQ(Shift.newCounts().Slow, 0U);
 }
 
+TEST(TrafficShift, StreamThatBreaksAfterItWasObservedCountsOnceAsFailed) {
+  auto Shift = startedShift();
+  Shift.observe({Chat, New, false, Millis{80}, Millis{30}});
+  Shift.observeLateFailure(New);
+  EXPECT_EQ(Shift.newCounts(), (VersionCounts{1, 1, 0}));
+}
+
 TEST(TrafficShift, VmStopsItsOwnTrialAtTheFirstFaults) {
   auto Shift = startedShift();
   for (int I = 0; I < 3; ++I) {
