VMs keep no more idle connections than the target accepts from all of them

A target resets connections beyond the number that its service states for all VMs together; a VM kept up to 32 idle ones, 295 VMs up to 9,440 where 1,900 are accepted.

The pool now divides the number by the live VMs.

--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -116,9 +116,11 @@
   using Parser = wire::response_parser<wire::buffer_body>;
 
   Upstream(std::shared_ptr<TargetConnection> Connection, WireRequest Request,
-           std::shared_ptr<backend::Target> Target, asio::yield_context Yield)
+           std::shared_ptr<backend::Target> Target, std::int64_t MaxConnections,
+           asio::yield_context Yield)
       : Connection{std::move(Connection)}, Target{std::move(Target)},
-        Yield{Yield}, Pending{std::make_shared<PendingRequest>()} {
+        MaxConnections{MaxConnections}, Yield{Yield},
+        Pending{std::make_shared<PendingRequest>()} {
     Pending->Message = std::move(Request);
     ++this->Target->InProgress;
   }
@@ -225,7 +227,7 @@
     }
     Connection->ReuseDeadline =
         DecisionClock::now() + internal::reuseTime(fields());
-    Pool.release(Target->Registered, Connection);
+    Pool.release(Target->Registered, Connection, MaxConnections);
   }
 
 private:
@@ -237,6 +239,7 @@
 
   std::shared_ptr<TargetConnection> Connection;
   std::shared_ptr<backend::Target> Target;
+  std::int64_t MaxConnections; ///< That the target accepts from all VMs.
   asio::yield_context Yield;
   /// Shared with the write, which may end after this object is destroyed.
   std::shared_ptr<PendingRequest> Pending;
@@ -492,9 +495,10 @@
   if (Caller.checkGone()) {
     return AttemptResult::CallerGone;
   }
-  Upstream Remote{Connection,
-                  buildRequest(Target->Registered, DecisionClock::now()),
-                  Target, Yield};
+  const auto *ChosenService = Table->service(Service);
+  Upstream Remote{
+      Connection, buildRequest(Target->Registered, DecisionClock::now()),
+      Target, ChosenService ? ChosenService->MaxConnections : 0, Yield};
   Caller.watch([Connection] { Connection->Socket.close(); });
   ++State.Sent;
   Target->SentWhileLimited += Target->RateLimit ? 1 : 0;
--- a/src/goldcrestnotch/proxy/target_connection.cpp
+++ b/src/goldcrestnotch/proxy/target_connection.cpp
@@ -77,12 +77,26 @@
   return Connection;
 }
 
+std::size_t ConnectionPool::idleLimit(std::int64_t MaxConnections) const {
+  if (MaxConnections <= 0) {
+    return internal::MaxIdle;
+  }
+  const auto Share = static_cast<std::size_t>(MaxConnections) / VmCount;
+  return std::clamp<std::size_t>(Share, 1, internal::MaxIdle);
+}
+
+std::size_t ConnectionPool::idleCount(const backend::Registration &To) const {
+  const auto It = Idle.find({To.Name, To.Incarnation});
+  return It == Idle.end() ? 0 : It->second.size();
+}
+
 void ConnectionPool::release(const backend::Registration &To,
-                             std::shared_ptr<TargetConnection> Connection) {
+                             std::shared_ptr<TargetConnection> Connection,
+                             std::int64_t MaxConnections) {
   Connection->Socket.expires_never();
   auto &Connections = Idle[{To.Name, To.Incarnation}];
   Connections.push_back(std::move(Connection));
-  if (Connections.size() > internal::MaxIdle) {
+  while (Connections.size() > idleLimit(MaxConnections)) {
     Connections.pop_front();
   }
 }
--- a/src/goldcrestnotch/proxy/target_connection.hpp
+++ b/src/goldcrestnotch/proxy/target_connection.hpp
@@ -3,6 +3,9 @@
 
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
@@ -58,10 +61,19 @@
   [[nodiscard]] std::shared_ptr<TargetConnection>
   connect(boost::asio::yield_context Yield, const backend::Registration &To,
           Instant Deadline);
-  /// @brief Returns a connection whose last exchange is complete. If the
-  /// target has too many idle connections, the oldest one is closed.
+  /// @brief Returns a connection whose last exchange is complete. If this VM
+  /// keeps too many idle connections to the target, the oldest one is closed.
+  /// @param MaxConnections Number of connections that the target accepts from
+  /// all VMs together; zero if it is unknown.
   void release(const backend::Registration &To,
-               std::shared_ptr<TargetConnection> Connection);
+               std::shared_ptr<TargetConnection> Connection,
+               std::int64_t MaxConnections);
+  /// @brief Number of idle connections to a target.
+  [[nodiscard]] std::size_t idleCount(const backend::Registration &To) const;
+  /// @brief Sets the number of VMs that share the connections of a target.
+  void updateVmCount(std::size_t Count) noexcept {
+    VmCount = std::max<std::size_t>(Count, 1);
+  }
   /// @brief Closes connections whose reuse deadline has passed.
   void expire(Instant Now);
 
@@ -73,7 +85,11 @@
     auto operator<=>(const Key &) const = default;
   };
 
+  /// @brief Number of idle connections to one target that this VM may keep.
+  [[nodiscard]] std::size_t idleLimit(std::int64_t MaxConnections) const;
+
   boost::asio::io_context &Loop;
+  std::size_t VmCount = 1;
   std::map<Key, std::deque<std::shared_ptr<TargetConnection>>> Idle;
 };
 
--- a/test/model/rate_limit_fleet_test.cpp
+++ b/test/model/rate_limit_fleet_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <ostream>
 #include <random>
 #include <string>
 #include <vector>
@@ -199,6 +200,10 @@
   double Limit;
   double RequestsPerSecond; ///< Of one VM.
   Demand Kind;
+
+  friend std::ostream &operator<<(std::ostream &Stream, const Fleet &Self) {
+    return Stream << Self.Vms << "_vms_limit_" << Self.Limit;
+  }
 };
 
 class RateLimitFleet : public testing::TestWithParam<Fleet> {
--- a/test/platform/rate_limit_test.cpp
+++ b/test/platform/rate_limit_test.cpp
@@ -29,6 +29,7 @@
 void sendOrders(Fleet &TestFleet, Millis Duration, Millis Pause,
                 const std::function<void(const CallResult &)> &OnResult) {
   std::vector<std::thread> Callers;
+  Callers.reserve(VmCount);
   for (int Vm = 0; Vm < VmCount; ++Vm) {
     Callers.emplace_back([&, Vm] {
       const auto End = DecisionClock::now() + Duration;
