--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -15,6 +15,12 @@
 namespace {
 
 constexpr std::chrono::milliseconds PollInterval{20};
+/// Time from the first statement of a rate limit until all VMs keep to it.
+constexpr goldcrestnotch::Millis LimitReactionTime{3'000};
+/// A limited replica gets in this time at most one and a half times what its
+/// limit allows, and `LimitSlack` more.
+constexpr goldcrestnotch::Millis LimitWindow{4'000};
+constexpr std::size_t LimitSlack = 5;
 /// A daemon must stop within this time of SIGTERM: more than the grace time of
 /// the fleet's settings (`graceS`, 4 s).
 constexpr int ShutdownTimeoutMs = 5'000;
@@ -28,6 +34,7 @@
     : Fleet{Fleet}, Checker{Checker},
       VmsInUse(static_cast<std::size_t>(VmCount)),
       ReplicasInUse(static_cast<std::size_t>(Fleet.replicaCount())),
+      LimitedReplicas(static_cast<std::size_t>(Fleet.replicaCount())),
       PrepaidTokens{PrepaidTokens}, Random{Seed} {
   for (const auto &Name : KindNames.empty() ? kinds() : KindNames) {
     const auto Found = faults().find(Name);
@@ -48,6 +55,7 @@
       {"store-link", &FaultInjector::disruptStoreLink},
       {"replica-mood", &FaultInjector::changeReplicaBehavior},
       {"replica-link", &FaultInjector::disruptReplicaLink},
+      {"replica-limit", &FaultInjector::limitReplica},
       {"replica-leaves", &FaultInjector::drainReplica},
       {"unchanged-version", &FaultInjector::publishVersionTwice},
       {"version", &FaultInjector::publishVersion}};
@@ -113,6 +121,7 @@
   Fleet.daemon(Vm).signal(SIGSTOP);
   scheduleUndo(100, 4'000, [this, Vm] {
     Fleet.daemon(Vm).signal(SIGCONT);
+    LastVmFault = Clock::now();
     recordEvent("resume vm-" + std::to_string(Vm));
     VmsInUse[static_cast<std::size_t>(Vm)] = false;
   });
@@ -152,6 +161,39 @@
               2'000);
 }
 
+void FaultInjector::limitReplica() {
+  const int Number = randomBetween(0, Fleet.replicaCount() - 1);
+  const auto Index = static_cast<std::size_t>(Number);
+  const int Limit = randomBetween(1, 8);
+  if (LimitedReplicas[Index]) {
+    return;
+  }
+  LimitedReplicas[Index] = true;
+  auto &Replica = Fleet.replica(Number);
+  recordEvent("replica " + Replica.name() + " states a limit of " +
+              std::to_string(Limit) + " requests/s");
+  Replica.RateLimit = Limit;
+  const auto Begin = Clock::now();
+  const auto CheckFrom =
+      goldcrestnotch::DecisionClock::now() + LimitReactionTime;
+  scheduleUndo(8'000, 10'000, [this, Index, &Replica, Limit, Begin, CheckFrom] {
+    const auto Arrived = Replica.mostArrivals(LimitWindow, CheckFrom);
+    const auto Allowed =
+        static_cast<std::size_t>(1.5 * Limit * LimitWindow.count() / 1'000) +
+        LimitSlack;
+    Replica.RateLimit = 0;
+    LimitedReplicas[Index] = false;
+    recordEvent("replica " + Replica.name() + " got at most " +
+                std::to_string(Arrived) + " of " + std::to_string(Allowed) +
+                " requests in 4 s");
+    if (LastVmFault < Begin - LimitReactionTime && Arrived > Allowed) {
+      Checker.addViolation("replica " + Replica.name() + " got " +
+                           std::to_string(Arrived) + " requests in 4 s of " +
+                           std::to_string(Allowed) + " that its limit allows");
+    }
+  });
+}
+
 void FaultInjector::disruptLink(FaultyLink &Link, const std::string &LinkName,
                                 int MaxDelayMs) {
   const int FaultNumber = randomBetween(0, 4);
@@ -201,6 +243,7 @@
     return -1;
   }
   VmsInUse[static_cast<std::size_t>(Vm)] = true;
+  LastVmFault = Clock::now();
   recordEvent(Fault + " vm-" + std::to_string(Vm));
   return Vm;
 }
@@ -208,6 +251,7 @@
 void FaultInjector::restart(int Vm) {
   recordEvent("start vm-" + std::to_string(Vm));
   Fleet.start(Vm);
+  LastVmFault = Clock::now();
   VmsInUse[static_cast<std::size_t>(Vm)] = false;
 }
 
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -47,6 +47,9 @@
   void disruptStoreLink();
   void changeReplicaBehavior();
   void disruptReplicaLink();
+  /// @brief Lets a replica state a rate limit, and checks at the end of the
+  /// fault that all VMs together kept to it.
+  void limitReplica();
   void drainReplica();
   /// @brief Publishes a new version with the default API key and a new one.
   void publishVersion();
@@ -74,6 +77,10 @@
   InvariantChecker &Checker;
   std::vector<bool> VmsInUse; ///< VMs with an active fault.
   std::vector<bool> ReplicasInUse;
+  std::vector<bool> LimitedReplicas;
+  /// When a VM was last stopped, paused or started. A VM that has just started
+  /// does not know the limits, and a paused one may have sent before.
+  Clock::time_point LastVmFault = Clock::now();
   std::int64_t PrepaidTokens;
   std::mt19937_64 Random;
   std::vector<Fault> EnabledFaults;
