A malformed address of an issuer is logged and passed over; one function for datagram endpoints

The address comes from another VM's record; parsing it threw out of a request's coroutine. Found by reading; the test fails with an exception without the catch by reading only, not run.

--- a/src/goldcrestnotch/backend/placement_hints.cpp
+++ b/src/goldcrestnotch/backend/placement_hints.cpp
@@ -9,6 +9,7 @@
 #include <boost/endian/conversion.hpp>
 
 #include "goldcrestnotch/core/hash.hpp"
+#include "goldcrestnotch/roster/udp_endpoints.hpp"
 
 namespace goldcrestnotch::backend {
 
@@ -31,14 +32,7 @@
 }
 
 void PlacementHints::updatePeers(const std::vector<std::string> &Addresses) {
-  Peers.clear();
-  for (const auto &Text : Addresses) {
-    boost::system::error_code Failure;
-    const auto Address = asio::ip::make_address(Text, Failure);
-    if (!Failure) {
-      Peers.emplace_back(Address, Port);
-    }
-  }
+  Peers = roster::udpEndpoints(Addresses, Port);
 }
 
 void PlacementHints::send(const TargetId &Name, std::int64_t PromptTokens) {
--- a/src/goldcrestnotch/ratelimit/permits.cpp
+++ b/src/goldcrestnotch/ratelimit/permits.cpp
@@ -5,12 +5,14 @@
 
 #include <algorithm>
 #include <cmath>
+#include <stdexcept>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
 
 #include "goldcrestnotch/core/hash.hpp"
 #include "goldcrestnotch/ratelimit/request_backoff.hpp"
+#include "goldcrestnotch/roster/udp_endpoints.hpp"
 #include "goldcrestnotch/telemetry/log.hpp"
 
 namespace goldcrestnotch::ratelimit {
@@ -42,6 +44,20 @@
          AnnouncedChange * Before->perSecond();
 }
 
+/// @return Nothing if a record of another VM states no valid address.
+[[nodiscard]] static std::optional<udp::endpoint>
+datagramEndpoint(const std::string &ControlAddress, std::uint16_t Port) {
+  try {
+    const auto Host = http::Endpoint::parse(ControlAddress).Address;
+    const auto Endpoints = roster::udpEndpoints({Host}, Port);
+    return Endpoints.empty() ? std::nullopt : std::optional{Endpoints.front()};
+  } catch (const std::invalid_argument &Failure) {
+    log(LogLevel::Warn, "permit.issuer_unreadable",
+        {{"address", ControlAddress}, {"cause", std::string{Failure.what()}}});
+    return std::nullopt;
+  }
+}
+
 } // namespace internal
 
 Permits::Permits(asio::io_context &Loop, const http::Endpoint &Listen,
@@ -61,14 +77,7 @@
 }
 
 void Permits::updatePeers(const std::vector<std::string> &Addresses) {
-  Peers.clear();
-  for (const auto &Text : Addresses) {
-    boost::system::error_code Failure;
-    const auto Address = asio::ip::make_address(Text, Failure);
-    if (!Failure) {
-      Peers.emplace_back(Address, Port);
-    }
-  }
+  Peers = roster::udpEndpoints(Addresses, Port);
 }
 
 Permit Permits::acquire(asio::yield_context Yield, backend::Target &Target,
@@ -130,20 +139,17 @@
   if (Silent != SilentUntil.end() && Now < Silent->second) {
     return std::nullopt;
   }
+  const auto To = internal::datagramEndpoint(ControlAddress, Port);
+  if (!To) {
+    return std::nullopt;
+  }
   PendingRequest Request{asio::steady_timer{Loop}, std::nullopt};
   const auto Nonce = Random();
   Pending.emplace(Nonce, &Request);
   // Also runs if the coroutine is destroyed during the wait.
   const std::unique_ptr<PendingRequest, std::function<void(PendingRequest *)>>
       Registration{&Request, [&](PendingRequest *) { Pending.erase(Nonce); }};
-  boost::system::error_code Failure;
-  const auto Address = asio::ip::make_address(
-      http::Endpoint::parse(ControlAddress).Address, Failure);
-  if (Failure) {
-    return std::nullopt;
-  }
-  send(PermitRequest{Nonce, hashOf(Name.str()), Limit, MaxWait},
-       {Address, Port});
+  send(PermitRequest{Nonce, hashOf(Name.str()), Limit, MaxWait}, *To);
   Request.Timer.expires_after(internal::ResponseTimeout);
   boost::system::error_code Cancelled; // Set by the arrival of the response.
   Request.Timer.async_wait(Yield[Cancelled]);
--- a/test/goldcrestnotch/ratelimit/permits_test.cpp
+++ b/test/goldcrestnotch/ratelimit/permits_test.cpp
@@ -84,6 +84,12 @@
   EXPECT_GT(Requester.target().PermitRetry, Begin);
 }
 
+TEST_F(PermitsTest, UnreadableAddressOfAnIssuerIsPassedOver) {
+  Requester.target().RateLimit = RequestRate{1'000};
+  Requester.Issuers.update({{"127.0.0.2", "nowhere", 25}}, IssuersPerTarget);
+  EXPECT_FALSE(acquire(Millis{250}).Granted);
+}
+
 TEST_F(PermitsTest, VmThatIsNoIssuerRefuses) {
   Requester.target().RateLimit = RequestRate{1'000};
   Issuing.join({}, "127.0.0.3");
