--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -1,13 +1,11 @@
 /// @file
-/// Forwarding of requests. The request is written and the response read at the
-/// same time, since a target may respond before it has read the whole request.
+/// Routing, admission and forwarding of requests.
 
 #include "goldcrestnotch/proxy/exchange.hpp"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <limits>
 #include <utility>
 
 #include <boost/asio/steady_timer.hpp>
@@ -15,6 +13,8 @@
 
 #include "goldcrestnotch/core/error.hpp"
 #include "goldcrestnotch/escrow/retry_after.hpp"
+#include "goldcrestnotch/proxy/upstream.hpp"
+#include "goldcrestnotch/proxy/wire_text.hpp"
 #include "goldcrestnotch/telemetry/log.hpp"
 #include "goldcrestnotch/telemetry/request_log.hpp"
 
@@ -48,12 +48,6 @@
 /// Rejected callers are told to retry after a random time between this and
 /// twice as long.
 static constexpr Millis MinRetryDelay{150};
-/// An idle connection is not reused in this last part of the idle timeout that
-/// its target states, since the target might close it at the same moment.
-static constexpr Millis ReuseMargin{1'000};
-/// Time for which a connection may be reused if its target states no idle
-/// timeout, or one of at most a second.
-static constexpr Millis DefaultReuseTime{150};
 /// After a failure, other targets are preferred for this long; the time doubles
 /// with each consecutive failure.
 static constexpr Millis MinBackoff{250};
@@ -65,189 +59,13 @@
 static constexpr std::uint64_t MinEventsForGap = 4;
 /// Events after which a stream counts as evidence about its target's version.
 static constexpr std::uint64_t EventsForEvidence = 8;
-/// Largest number of late responses to earlier requests that are discarded on
-/// one connection.
-static constexpr int MaxStaleResponses = 3;
-static constexpr std::size_t ReadBufferBytes = 16'384;
 /// Largest response that is buffered; a longer one counts as lost. A VM has
 /// 160 MB of memory for all requests.
 static constexpr std::size_t MaxBodyBytes = 4U << 20U;
-/// Largest response body that is read only to be discarded, such as that of a
-/// late response to an earlier request.
-static constexpr std::size_t MaxDiscardedBytes = 64U << 10U;
 static constexpr std::string_view BearerPrefix = "Bearer ";
 
-/// @brief Parses a decimal number.
-/// @return Nothing if the text does not begin with one.
-[[nodiscard]] static std::optional<Millis> parseMillis(std::string_view Text) {
-  std::int64_t Count = 0;
-  const auto [End, Failure] =
-      std::from_chars(Text.data(), Text.data() + Text.size(), Count);
-  if (Failure != std::errc{} || End == Text.data()) {
-    return std::nullopt;
-  }
-  return Millis{Count};
-}
-
-[[nodiscard]] static std::string_view view(beast::string_view Text) {
-  return {Text.data(), Text.size()};
-}
-
-/// @brief How long a connection may be idle and still be reused, from the
-/// `Keep-Alive` header of its target.
-[[nodiscard]] static Millis reuseTime(const WireFields &Fields) {
-  const auto Text = view(Fields[wire::field::keep_alive]);
-  const auto Begin = Text.find("timeout=");
-  if (Begin == std::string_view::npos) {
-    return DefaultReuseTime;
-  }
-  // The header states seconds.
-  const auto Seconds = parseMillis(Text.substr(Begin + 8));
-  return Seconds ? std::max(*Seconds * 1'000 - ReuseMargin, DefaultReuseTime)
-                 : DefaultReuseTime;
-}
-
 } // namespace internal
 
-/// @brief One attempt at a target: the connection, the request that is being
-/// sent and the response.
-class Exchange::Upstream {
-public:
-  using Parser = wire::response_parser<wire::buffer_body>;
-
-  Upstream(std::shared_ptr<TargetConnection> Connection, WireRequest Request,
-           std::shared_ptr<backend::Target> Target, std::int64_t MaxConnections,
-           asio::yield_context Yield)
-      : Connection{std::move(Connection)}, Target{std::move(Target)},
-        MaxConnections{MaxConnections}, Yield{Yield},
-        Pending{std::make_shared<PendingRequest>()} {
-    Pending->Message = std::move(Request);
-    ++this->Target->InProgress;
-  }
-
-  ~Upstream() {
-    if (!Released) {
-      Connection->Socket.close();
-    }
-    --Target->InProgress;
-  }
-  Upstream(const Upstream &) = delete;
-  Upstream &operator=(const Upstream &) = delete;
-
-  [[nodiscard]] std::shared_ptr<TargetConnection> connection() noexcept {
-    return Connection;
-  }
-  [[nodiscard]] backend::Target &target() noexcept { return *Target; }
-  /// @brief Header fields of the response.
-  [[nodiscard]] const WireFields &fields() const { return Response->get(); }
-  [[nodiscard]] int status() const {
-    return static_cast<int>(Response->get().result_int());
-  }
-  /// @brief Whether the whole response has been read.
-  [[nodiscard]] bool complete() const { return Response->is_done(); }
-
-  /// @brief Starts to send the request; does not wait until it is sent.
-  /// @param Deadline Limit for sending the request and reading the response.
-  void send(Instant Deadline) {
-    Connection->Socket.expires_at(toSteadyTime(Deadline));
-    auto KeptRequest = Pending;
-    auto KeptConnection = Connection;
-    wire::async_write(Connection->Socket, KeptRequest->Message,
-                      [KeptRequest, KeptConnection](
-                          const boost::system::error_code &Failure,
-                          std::size_t) { KeptRequest->Written = !Failure; });
-  }
-
-  /// @brief Reads the head of the response to this request. Late responses to
-  /// earlier requests on the connection are discarded.
-  /// @param HeaderName Name of the header that echoes the attempt id.
-  /// @return False if the connection fails first.
-  [[nodiscard]] bool readHead(const std::string &HeaderName,
-                              std::string_view AttemptId) {
-    for (int Stale = 0; Stale <= internal::MaxStaleResponses; ++Stale) {
-      Response.emplace();
-      Response->body_limit(std::numeric_limits<std::uint64_t>::max());
-      boost::system::error_code Failure;
-      wire::async_read_header(Connection->Socket, Connection->Buffer, *Response,
-                              Yield[Failure]);
-      if (Failure) {
-        return false;
-      }
-      const auto EchoedId = Response->get()[HeaderName];
-      if (internal::view(EchoedId) == AttemptId ||
-          (EchoedId.empty() && Stale == 0)) {
-        return true;
-      }
-      std::string Discarded;
-      if (!readAll(Discarded, internal::MaxDiscardedBytes) ||
-          !Response->keep_alive()) {
-        return false;
-      }
-    }
-    return false;
-  }
-
-  /// @brief Reads more of the body.
-  /// @return False if the connection fails before the end.
-  [[nodiscard]] bool readSome(std::string &Body) {
-    ReadBuffer.resize(internal::ReadBufferBytes);
-    Response->get().body().data = ReadBuffer.data();
-    Response->get().body().size = ReadBuffer.size();
-    Response->get().body().more = true;
-    boost::system::error_code Failure;
-    wire::async_read_some(Connection->Socket, Connection->Buffer, *Response,
-                          Yield[Failure]);
-    Body.append(ReadBuffer, 0, ReadBuffer.size() - Response->get().body().size);
-    return !Failure || Failure == wire::error::need_buffer;
-  }
-
-  /// @brief Reads the rest of the body.
-  /// @return False if the connection fails, or the body exceeds `MaxBytes`.
-  [[nodiscard]] bool readAll(std::string &Body, std::size_t MaxBytes) {
-    while (!Response->is_done()) {
-      if (!readSome(Body) || Body.size() > MaxBytes) {
-        return false;
-      }
-    }
-    return true;
-  }
-
-  /// @brief Returns the connection to the pool if it can carry another request,
-  /// and closes it otherwise.
-  void release(ConnectionPool &Pool) {
-    if (std::exchange(Released, true)) {
-      return;
-    }
-    const bool Reusable = Response && Response->is_done() &&
-                          Response->keep_alive() && !Response->need_eof() &&
-                          Pending->Written && Connection->Buffer.size() == 0;
-    if (!Reusable) {
-      Connection->Socket.close();
-      return;
-    }
-    Connection->ReuseDeadline =
-        DecisionClock::now() + internal::reuseTime(fields());
-    Pool.release(Target->Registered, Connection, MaxConnections);
-  }
-
-private:
-  /// @brief The request, which must exist until the write has ended.
-  struct PendingRequest {
-    WireRequest Message;
-    bool Written = false; ///< All of it has been sent.
-  };
-
-  std::shared_ptr<TargetConnection> Connection;
-  std::shared_ptr<backend::Target> Target;
-  std::int64_t MaxConnections; ///< That the target accepts from all VMs.
-  asio::yield_context Yield;
-  /// Shared with the write, which may end after this object is destroyed.
-  std::shared_ptr<PendingRequest> Pending;
-  std::optional<Parser> Response;
-  std::string ReadBuffer;
-  bool Released = false;
-};
-
 Exchange::Exchange(ProxyContext &Context, CallerConnection &Caller,
                    asio::yield_context Yield)
     : Context{Context}, Caller{Caller}, Yield{Yield}, Table{Context.Table} {
@@ -287,8 +105,8 @@
     reject(503, "no_configuration", retryDelay());
     return false;
   }
-  const auto RequestTarget = internal::view(Request.target());
-  MatchedRoute = Table->find(internal::view(Request[wire::field::host]),
+  const auto RequestTarget = view(Request.target());
+  MatchedRoute = Table->find(view(Request[wire::field::host]),
                              RequestTarget.substr(0, RequestTarget.find('?')));
   if (MatchedRoute == nullptr) {
     reject(404, "no_route");
@@ -307,8 +125,8 @@
                            ? MatchedRoute->Timeout
                            : internal::DefaultTimeout;
   Deadline = Caller.arrival() + Timeout;
-  if (const auto Remaining = internal::parseMillis(
-          internal::view(Request[Context.Headers.RemainingTime]))) {
+  if (const auto Remaining =
+          parseMillis(view(Request[Context.Headers.RemainingTime]))) {
     Deadline = std::min(Deadline, Caller.arrival() + *Remaining -
                                       internal::ResponseMargin);
   }
@@ -319,7 +137,7 @@
     return false;
   }
   std::uint64_t LastEventId = 0;
-  const auto ResumeText = internal::view(Request[Context.Headers.LastEventId]);
+  const auto ResumeText = view(Request[Context.Headers.LastEventId]);
   std::from_chars(ResumeText.data(), ResumeText.data() + ResumeText.size(),
                   LastEventId);
   Framer = EventFramer{LastEventId};
@@ -330,7 +148,7 @@
   if (!Table->source().KeyRequired) {
     return true;
   }
-  auto Key = internal::view(Caller.request()[wire::field::authorization]);
+  auto Key = view(Caller.request()[wire::field::authorization]);
   if (Key.starts_with(internal::BearerPrefix)) {
     Key.remove_prefix(internal::BearerPrefix.size());
     Workspace = Table->workspaceByKey(Key);
@@ -526,8 +344,7 @@
 }
 
 AttemptResult Exchange::receiveResponse(Upstream &Remote) {
-  const auto AttemptId =
-      internal::view(Caller.request()[Context.Headers.AttemptId]);
+  const auto AttemptId = view(Caller.request()[Context.Headers.AttemptId]);
   if (!Remote.readHead(Context.Headers.AttemptId, AttemptId)) {
     Cause = "answer_lost";
     return DecisionClock::now() >= Deadline ? AttemptResult::DeadlineExceeded
@@ -540,7 +357,7 @@
       Fields.find(Context.Headers.NotExecuted) != Fields.end();
   if (Remote.status() == 421 || NotExecuted) {
     std::string Discarded;
-    if (!Remote.readAll(Discarded, internal::MaxDiscardedBytes)) {
+    if (!Remote.readAll(Discarded, MaxDiscardedBytes)) {
       Remote.connection()->Socket.close();
     }
     Cause = "target_refused";
@@ -561,7 +378,7 @@
 void Exchange::recordRateLimit(Upstream &Remote) {
   const auto &Fields = Remote.fields();
   const auto Stated =
-      RequestRate::parse(internal::view(Fields[Context.Headers.RateLimit]));
+      RequestRate::parse(view(Fields[Context.Headers.RateLimit]));
   // Another target that answers at the address says nothing about this one, nor
   // does a response without a signature.
   const bool FromTarget =
@@ -852,8 +669,8 @@
                              : "requests_total{outcome=\"" + Cause + "\"}");
   logRequest(
       ResponseStatus / 100 == 2 && Cause.empty(),
-      {{"request", std::string{internal::view(
-                       Caller.request()[Context.Headers.AttemptId])}},
+      {{"request",
+        std::string{view(Caller.request()[Context.Headers.AttemptId])}},
        {"route", MatchedRoute == nullptr ? "" : MatchedRoute->Name.str()},
        {"workspace", Workspace == nullptr ? "" : Workspace->Name.str()},
        {"status", static_cast<std::int64_t>(ResponseStatus)},
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -17,6 +17,8 @@
 
 namespace goldcrestnotch::proxy {
 
+class Upstream;
+
 /// @brief Routes, admits and forwards a request, and responds to its caller.
 class Exchange {
 public:
@@ -31,8 +33,6 @@
   void run();
 
 private:
-  class Upstream;
-
   /// @brief Finds the route and service and sets the deadline.
   /// @return False if the request has been rejected.
   [[nodiscard]] bool route();
--- a/src/goldcrestnotch/proxy/fwd.hpp
+++ b/src/goldcrestnotch/proxy/fwd.hpp
@@ -12,5 +12,6 @@
 class TargetConnection;
 class ConnectionPool;
 class Listener;
+class Upstream;
 
 } // namespace goldcrestnotch::proxy
--- /dev/null
+++ b/src/goldcrestnotch/proxy/upstream.cpp
@@ -0,0 +1,127 @@
+/// @file
+/// Implementation of one attempt at a target.
+
+#include "goldcrestnotch/proxy/upstream.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "goldcrestnotch/proxy/wire_text.hpp"
+
+namespace goldcrestnotch::proxy {
+
+namespace asio = boost::asio;
+namespace wire = boost::beast::http;
+
+namespace internal {
+
+/// An idle connection is not reused in this last part of the idle timeout that
+/// its target states, since the target might close it at the same moment.
+static constexpr Millis ReuseMargin{1'000};
+/// Time for which a connection may be reused if its target states no idle
+/// timeout, or one of at most a second.
+static constexpr Millis DefaultReuseTime{150};
+/// Largest number of late responses to earlier requests that are discarded on
+/// one connection.
+static constexpr int MaxStaleResponses = 3;
+static constexpr std::size_t ReadBufferBytes = 16'384;
+
+/// @brief How long a connection may be idle and still be reused, from the
+/// `Keep-Alive` header of its target.
+[[nodiscard]] static Millis reuseTime(const WireFields &Fields) {
+  const auto Text = view(Fields[wire::field::keep_alive]);
+  const auto Begin = Text.find("timeout=");
+  if (Begin == std::string_view::npos) {
+    return DefaultReuseTime;
+  }
+  // The header states seconds.
+  const auto Seconds = parseMillis(Text.substr(Begin + 8));
+  return Seconds ? std::max(*Seconds * 1'000 - ReuseMargin, DefaultReuseTime)
+                 : DefaultReuseTime;
+}
+
+} // namespace internal
+
+Upstream::Upstream(std::shared_ptr<TargetConnection> Connection,
+                   WireRequest Request, std::shared_ptr<backend::Target> Target,
+                   std::int64_t MaxConnections, asio::yield_context Yield)
+    : Connection{std::move(Connection)}, Target{std::move(Target)},
+      MaxConnections{MaxConnections}, Yield{Yield},
+      Pending{std::make_shared<PendingRequest>()} {
+  Pending->Message = std::move(Request);
+  ++this->Target->InProgress;
+}
+
+void Upstream::send(Instant Deadline) {
+  Connection->Socket.expires_at(toSteadyTime(Deadline));
+  auto KeptRequest = Pending;
+  auto KeptConnection = Connection;
+  wire::async_write(Connection->Socket, KeptRequest->Message,
+                    [KeptRequest, KeptConnection](
+                        const boost::system::error_code &Failure, std::size_t) {
+                      KeptRequest->Written = !Failure;
+                    });
+}
+
+bool Upstream::readHead(const std::string &HeaderName,
+                        std::string_view AttemptId) {
+  for (int Stale = 0; Stale <= internal::MaxStaleResponses; ++Stale) {
+    Response.emplace();
+    Response->body_limit(std::numeric_limits<std::uint64_t>::max());
+    boost::system::error_code Failure;
+    wire::async_read_header(Connection->Socket, Connection->Buffer, *Response,
+                            Yield[Failure]);
+    if (Failure) {
+      return false;
+    }
+    const auto EchoedId = Response->get()[HeaderName];
+    if (view(EchoedId) == AttemptId || (EchoedId.empty() && Stale == 0)) {
+      return true;
+    }
+    std::string Discarded;
+    if (!readAll(Discarded, MaxDiscardedBytes) || !Response->keep_alive()) {
+      return false;
+    }
+  }
+  return false;
+}
+
+bool Upstream::readSome(std::string &Body) {
+  ReadBuffer.resize(internal::ReadBufferBytes);
+  Response->get().body().data = ReadBuffer.data();
+  Response->get().body().size = ReadBuffer.size();
+  Response->get().body().more = true;
+  boost::system::error_code Failure;
+  wire::async_read_some(Connection->Socket, Connection->Buffer, *Response,
+                        Yield[Failure]);
+  Body.append(ReadBuffer, 0, ReadBuffer.size() - Response->get().body().size);
+  return !Failure || Failure == wire::error::need_buffer;
+}
+
+bool Upstream::readAll(std::string &Body, std::size_t MaxBytes) {
+  while (!Response->is_done()) {
+    if (!readSome(Body) || Body.size() > MaxBytes) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void Upstream::release(ConnectionPool &Pool) {
+  if (std::exchange(Released, true)) {
+    return;
+  }
+  const bool Reusable = Response && Response->is_done() &&
+                        Response->keep_alive() && !Response->need_eof() &&
+                        Pending->Written && Connection->Buffer.size() == 0;
+  if (!Reusable) {
+    Connection->Socket.close();
+    return;
+  }
+  Connection->ReuseDeadline =
+      DecisionClock::now() + internal::reuseTime(fields());
+  Pool.release(Target->Registered, Connection, MaxConnections);
+}
+
+} // namespace goldcrestnotch::proxy
