A limit that changes takes effect at once

What callers saw: nothing; found by reading the diff against the issue. A target that states a higher limit got nothing more until the permit that was due under the limit before: 20 s after 0.05 requests a second. After a fall, permits still came at the old distance once.

Cause: the schedule kept the next permit's time as it followed from the limit of the last one. It is scaled to the present limit now, and a VM that was refused asks again when the limit changes.

Evidence: PermitIssuer.LimitThatRisesIsUsedAtOnce (20,000 ms to wait where 100 are right) and LimitThatFallsHoldsAtOnce (100 ms where 1,900 are) fail on the code before; RateLimit*, Permit*: 43 pass.

--- a/src/goldcrestnotch/ratelimit/permit_issuer.hpp
+++ b/src/goldcrestnotch/ratelimit/permit_issuer.hpp
@@ -42,7 +42,15 @@
     const Millis Spacing = spacing(Share);
     // An issuer that has just started may follow one that issued a permit a
     // moment ago.
-    auto &Next = Schedules.try_emplace(TargetHash, Now + Spacing).first->second;
+    auto &[Next, LastSpacing] =
+        Schedules.try_emplace(TargetHash, Schedule{Now + Spacing, Spacing})
+            .first->second;
+    if (Next > Now) {
+      // A permit that was far off under an earlier limit comes sooner or later
+      // under the present one.
+      Next = Now + (Next - Now) * Spacing.count() / LastSpacing.count();
+    }
+    LastSpacing = Spacing;
     Next = std::max(Next, Now - Spacing * (MaxUnused - 1));
     const Millis Wait = std::max(Next - Now, Millis{0});
     if (Wait > MaxWait) {
@@ -55,11 +63,18 @@
   /// @brief Forgets the targets whose permits nobody has requested for a while.
   void expire(Instant Now) {
     std::erase_if(Schedules, [&](const auto &Entry) {
-      return Entry.second + RetentionTime < Now;
+      return Entry.second.Next + RetentionTime < Now;
     });
   }
 
 private:
+  /// @brief The schedule of one target.
+  struct Schedule {
+    Instant Next; ///< When the next permit becomes usable.
+    Millis
+        Spacing; ///< Between two permits, under the limit that was last used.
+  };
+
   /// Permits that a target's schedule accumulates while nobody requests any, so
   /// that irregular requests can use the whole limit.
   static constexpr int MaxUnused = 2;
@@ -72,8 +87,7 @@
         std::clamp(1'000 / Share.perSecond(), 1.0, MaxSpacingMs))};
   }
 
-  /// When the next permit of a target becomes usable.
-  std::map<std::uint64_t, Instant> Schedules;
+  std::map<std::uint64_t, Schedule> Schedules; ///< By the target's hash.
 };
 
 } // namespace goldcrestnotch::ratelimit
--- a/src/goldcrestnotch/ratelimit/permits.cpp
+++ b/src/goldcrestnotch/ratelimit/permits.cpp
@@ -187,7 +187,9 @@
           static_cast<std::int64_t>(Target.SentWhileLimited)}});
     Target.SentWhileLimited = 0;
     Target.RateLimitLearned = DecisionClock::now();
-    Target.PermitRetry = Instant{};
+  }
+  if (internal::differs(Target.RateLimit, Limit)) {
+    Target.PermitRetry = Instant{}; // It follows from the limit before.
   }
   Target.RateLimit = Limit;
 }
--- a/test/goldcrestnotch/ratelimit/permit_issuer_test.cpp
+++ b/test/goldcrestnotch/ratelimit/permit_issuer_test.cpp
@@ -44,6 +44,21 @@
             Millis{1'000});
 }
 
+TEST(PermitIssuer, LimitThatRisesIsUsedAtOnce) {
+  PermitIssuer Issuer;
+  EXPECT_FALSE(
+      Issuer.issue(Start, Target, RequestRate{0.05}, Millis{0}).Granted);
+  EXPECT_LE(Issuer.issue(Start, Target, RequestRate{10}, Millis{0}).Wait,
+            Millis{100});
+}
+
+TEST(PermitIssuer, LimitThatFallsHoldsAtOnce) {
+  PermitIssuer Issuer;
+  (void)Issuer.issue(Start, Target, RequestRate{10}, Millis{0});
+  EXPECT_GE(Issuer.issue(Start, Target, RequestRate{0.5}, Millis{0}).Wait,
+            Millis{1'900});
+}
+
 TEST(PermitIssuer, HasAScheduleForEachTarget) {
   PermitIssuer Issuer;
   EXPECT_TRUE(Issuer.issue(Start, Target, Share, Millis{500}).Granted);
