--- a/src/goldcrestnotch/rollout/exposure_limiter.cpp
+++ b/src/goldcrestnotch/rollout/exposure_limiter.cpp
@@ -13,8 +13,10 @@
 static constexpr Millis FirstPause{1'000};
 static constexpr std::uint32_t MaxDoublings = 5;
 /// The objectives are those promised to callers.
-static constexpr SlowDuration SlowFirstByte{3, Millis{60}, 3, Millis{310}};
-static constexpr SlowDuration SlowEventGap{2.5, Millis{8}, 3, Millis{45}};
+static constexpr SlowDuration SlowFirstByte{
+    .Ratio = 3, .Floor = Millis{60}, .Objective = Millis{310}};
+static constexpr SlowDuration SlowEventGap{
+    .Ratio = 2.5, .Floor = Millis{8}, .Objective = Millis{45}};
 
 } // namespace internal
 
--- a/src/goldcrestnotch/rollout/traffic_shift.hpp
+++ b/src/goldcrestnotch/rollout/traffic_shift.hpp
@@ -32,10 +32,10 @@
   std::uint64_t LocalFaults = 3;
   /// The new version reads prompts that the old one has cached, so the limit on
   /// the first byte is wide.
-  SlowDuration SlowFirstByte{3, Millis{60}, 1};
+  SlowDuration SlowFirstByte{.Ratio = 3, .Floor = Millis{60}, .MinSamples = 1};
   /// The limit on the time between events is narrow, since the engines of the
   /// trial may be less loaded than those of the old version.
-  SlowDuration SlowEventGap{2, Millis{8}};
+  SlowDuration SlowEventGap{.Ratio = 2, .Floor = Millis{8}};
 };
 
 /// @brief The state of one move of one service. No I/O, no clock.
