--- a/standin/users_replica.cpp
+++ b/standin/users_replica.cpp
@@ -3,7 +3,6 @@
 
 #include "users_replica.hpp"
 
-#include <algorithm>
 #include <cstdlib>
 
 #include <boost/asio/error.hpp>
@@ -70,13 +69,7 @@
 std::size_t UsersReplica::mostArrivals(goldcrestnotch::Millis Window,
                                        goldcrestnotch::Instant Since) const {
   const std::lock_guard Lock{Mutex};
-  std::size_t Most = 0;
-  for (auto First = std::lower_bound(Arrivals.begin(), Arrivals.end(), Since);
-       First != Arrivals.end(); ++First) {
-    const auto End = std::lower_bound(First, Arrivals.end(), *First + Window);
-    Most = std::max(Most, static_cast<std::size_t>(End - First));
-  }
-  return Most;
+  return Arrivals.most(Window, Since);
 }
 
 int UsersReplica::runsOf(const std::string &AttemptId) const {
@@ -95,7 +88,7 @@
   }
   {
     const std::lock_guard Lock{Mutex};
-    Arrivals.push_back(DecisionClock::now());
+    Arrivals.add(DecisionClock::now());
   }
   if (Request.field("X-Goldcrestnotch-Expect-Replica") != Name) {
     Reply.Status = 421;
--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -7,14 +7,13 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <mutex>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
 
-#include "goldcrestnotch/core/instant.hpp"
+#include "arrival_log.hpp"
 #include "goldcrestnotch/http/server.hpp"
 
 namespace standin {
@@ -85,9 +84,9 @@
   std::atomic<std::uint64_t> Runs{0};
   std::atomic<std::uint64_t> EndlessBytes{0};
   mutable std::mutex Mutex;
-  goldcrestnotch::http::Headers LastHeaders;    ///< Guarded by `Mutex`.
-  std::map<std::string, int> RunsByAttempt;     ///< Guarded by `Mutex`.
-  std::deque<goldcrestnotch::Instant> Arrivals; ///< Guarded by `Mutex`.
+  goldcrestnotch::http::Headers LastHeaders; ///< Guarded by `Mutex`.
+  std::map<std::string, int> RunsByAttempt;  ///< Guarded by `Mutex`.
+  ArrivalLog Arrivals;                       ///< Guarded by `Mutex`.
   goldcrestnotch::http::Server Listener;
 };
 
--- a/test/model/rate_limit_fleet_test.cpp
+++ b/test/model/rate_limit_fleet_test.cpp
@@ -1,10 +1,11 @@
 /// @file
 /// Model of a fleet in virtual time whose VMs share the rate limit of a target,
-/// through cuts, restarts and joins. It uses the issuer, the choice of issuers
-/// and the backoff of the daemon; messages and the roster are modelled.
+/// through cuts, freezes, restarts, joins and changes of the limit. It uses the
+/// issuer, the choice of issuers and the backoff of the daemon; messages and
+/// the roster are modelled.
 
 #include <algorithm>
-#include <deque>
+#include <optional>
 #include <ostream>
 #include <random>
 #include <string>
@@ -12,6 +13,7 @@
 
 #include <gtest/gtest.h>
 
+#include "arrival_log.hpp"
 #include "goldcrestnotch/core/hash.hpp"
 #include "goldcrestnotch/ratelimit/permit_issuer.hpp"
 #include "goldcrestnotch/ratelimit/request_backoff.hpp"
@@ -22,6 +24,8 @@
 
 constexpr Millis Step{5};
 constexpr Millis Window{4'000};
+/// Time after which the VMs must keep to a limit that was first stated.
+constexpr Millis ReactionTime{3'000};
 constexpr Millis VmTimeout{3'500}; ///< Silence after which a VM counts as down.
 constexpr Millis ViewInterval{500};
 constexpr Millis StartDelay{3'000}; ///< Before a new process issues permits.
@@ -67,25 +71,34 @@
     Vm.IssueFrom = Now + StartDelay;
     Vm.NextView = Vm.PermitRetry = Instant{};
   }
+  /// @brief Lets a VM stand still; its state is what it was when it goes on.
+  void freeze(std::size_t Index, Millis Duration) {
+    Vms[Index].FrozenUntil = Now + Duration;
+  }
   /// @brief Cuts the first VMs off from the store and from all others, or
   /// reconnects them if the number is zero.
   void isolate(std::size_t Count) { Isolated = Count; }
+  /// @brief Changes the limit; all VMs learn it at once.
+  void changeLimit(RequestRate NewLimit) {
+    Limit = NewLimit;
+    for (auto &Vm : Vms) {
+      Vm.PermitRetry = Instant{};
+    }
+  }
 
   [[nodiscard]] std::size_t size() const { return Vms.size(); }
-  [[nodiscard]] std::size_t mostArrivals(Instant Since) const {
-    std::size_t Most = 0;
-    for (auto First = std::lower_bound(Arrivals.begin(), Arrivals.end(), Since);
-         First != Arrivals.end(); ++First) {
-      const auto End = std::lower_bound(First, Arrivals.end(), *First + Window);
-      Most = std::max(Most, static_cast<std::size_t>(End - First));
+  /// @brief Numbers of the VMs that issue permits, as the first VM sees it.
+  [[nodiscard]] std::vector<std::size_t> issuers() {
+    std::vector<std::size_t> Result;
+    for (const auto &Control : Vms.front().Issuers.otherHomes(Limited)) {
+      Result.push_back(indexOf(Control));
     }
-    return Most;
-  }
-  [[nodiscard]] std::size_t arrivals(Instant From, Instant To) const {
-    return static_cast<std::size_t>(
-        std::lower_bound(Arrivals.begin(), Arrivals.end(), To) -
-        std::lower_bound(Arrivals.begin(), Arrivals.end(), From));
+    if (Vms.front().Issuers.isHome(Limited)) {
+      Result.push_back(0);
+    }
+    return Result;
   }
+  [[nodiscard]] const standin::ArrivalLog &arrivals() const { return Arrivals; }
   [[nodiscard]] Instant now() const { return Now; }
   /// @brief Largest number of arrivals that the target allows in `Window`.
   [[nodiscard]] std::size_t allowed() const {
@@ -93,6 +106,12 @@
         1.5 * Limit.perSecond() * static_cast<double>(Window.count()) / 1'000 +
         5);
   }
+  /// @brief Three quarters of what the target takes in a time.
+  [[nodiscard]] std::size_t expected(Millis Duration) const {
+    return static_cast<std::size_t>(0.75 * Limit.perSecond() *
+                                    static_cast<double>(Duration.count()) /
+                                    1'000);
+  }
 
 private:
   struct ModelVm {
@@ -103,10 +122,13 @@
     Instant PermitRetry{};
     Instant NextView{};
     Instant LastRecord{};
+    Instant FrozenUntil{};
+    std::vector<std::size_t> View{}; ///< Numbers of the live VMs.
   };
 
   [[nodiscard]] bool connected(std::size_t A, std::size_t B) const {
-    return A == B || (A >= Isolated && B >= Isolated);
+    return A == B ||
+           (A >= Isolated && B >= Isolated && Now >= Vms[B].FrozenUntil);
   }
 
   void updateView(std::size_t Index) {
@@ -119,19 +141,28 @@
       return; // Its view stays as it was.
     }
     Vm.LastRecord = Now;
-    std::vector<roster::LiveVm> Live;
-    for (const auto &Other : Vms) {
-      if (Now - Other.LastRecord < VmTimeout) {
-        Live.push_back(Other.Entry);
+    std::vector<std::size_t> View;
+    for (std::size_t I = 0; I < Vms.size(); ++I) {
+      if (Now - Vms[I].LastRecord < VmTimeout) {
+        View.push_back(I);
       }
     }
+    if (View == Vm.View) {
+      return;
+    }
+    Vm.View = std::move(View);
+    std::vector<roster::LiveVm> Live;
+    for (const auto Number : Vm.View) {
+      Live.push_back(Vms[Number].Entry);
+    }
     Vm.Issuers.update(std::move(Live), IssuersPerTarget);
   }
 
-  [[nodiscard]] std::optional<Permit> ask(std::size_t Index, Millis MaxWait) {
+  /// @brief The response of an issuer.
+  [[nodiscard]] Permit ask(std::size_t Index, Millis MaxWait) {
     auto &Vm = Vms[Index];
     if (Now < Vm.IssueFrom || !Vm.Issuers.isHome(Limited)) {
-      return Permit{false, Millis{300}};
+      return {false, Millis{300}};
     }
     const auto Count = Vm.Issuers.otherHomes(Limited).size() + 1;
     return Vm.Issuer.issue(
@@ -149,6 +180,9 @@
   }
 
   void step(std::size_t Index) {
+    if (Now < Vms[Index].FrozenUntil) {
+      return;
+    }
     updateView(Index);
     auto &Vm = Vms[Index];
     if (draw() >= RequestsPerStep) {
@@ -172,11 +206,8 @@
         continue;
       }
       const auto Response = ask(Issuer, MaxWait);
-      if (Response->Granted) {
-        const auto Arrival = Now + Response->Wait;
-        Arrivals.insert(
-            std::upper_bound(Arrivals.begin(), Arrivals.end(), Arrival),
-            Arrival);
+      if (Response.Granted) {
+        Arrivals.add(Now + Response.Wait);
         return;
       }
     }
@@ -191,7 +222,7 @@
   Instant Now{Millis{100'000}};
   std::vector<ModelVm> Vms;
   std::size_t Isolated = 0;
-  std::deque<Instant> Arrivals;
+  standin::ArrivalLog Arrivals;
   std::mt19937_64 Random{11};
 };
 
@@ -215,16 +246,23 @@
     Model.run(Millis{8'000});
   }
 
+  void expectLimitHolds() const {
+    EXPECT_LE(Model.arrivals().most(Window, Begin), Model.allowed());
+  }
+  /// @brief Checks the last part of the time.
+  void expectMostIsUsed(Millis Duration) const {
+    EXPECT_GE(Model.arrivals().count(Model.now() - Duration, Model.now()),
+              Model.expected(Duration));
+  }
+
   FleetModel Model;
   Instant Begin;
 };
 
 TEST_P(RateLimitFleet, TargetGetsMostOfItsLimitAndNoMore) {
-  const auto From = Model.now();
   Model.run(Millis{20'000});
-  EXPECT_LE(Model.mostArrivals(Begin), Model.allowed());
-  EXPECT_GE(Model.arrivals(From, Model.now()),
-            static_cast<std::size_t>(0.75 * GetParam().Limit * 20));
+  expectLimitHolds();
+  expectMostIsUsed(Millis{20'000});
 }
 
 TEST_P(RateLimitFleet, LimitHoldsWhileHalfOfTheFleetIsIsolated) {
@@ -232,7 +270,7 @@
   Model.run(Millis{10'000});
   Model.isolate(0);
   Model.run(Millis{8'000});
-  EXPECT_LE(Model.mostArrivals(Begin), Model.allowed());
+  expectLimitHolds();
 }
 
 TEST_P(RateLimitFleet, LimitHoldsWhileVmsRestartInTurn) {
@@ -240,7 +278,7 @@
     Model.restart(I);
     Model.run(Millis{700});
   }
-  EXPECT_LE(Model.mostArrivals(Begin), Model.allowed());
+  expectLimitHolds();
 }
 
 TEST_P(RateLimitFleet, LimitHoldsWhileVmsJoin) {
@@ -248,7 +286,33 @@
     Model.join();
     Model.run(Millis{100});
   }
-  EXPECT_LE(Model.mostArrivals(Begin), Model.allowed());
+  expectLimitHolds();
+}
+
+TEST_P(RateLimitFleet, LimitHoldsAndIsUsedAgainWhenIssuersHaveFrozen) {
+  for (const auto Issuer : Model.issuers()) {
+    Model.freeze(Issuer, Millis{6'000});
+  }
+  Model.run(Millis{26'000});
+  expectLimitHolds();
+  expectMostIsUsed(Millis{18'000});
+}
+
+TEST_P(RateLimitFleet, LimitThatFallsHoldsSoon) {
+  Model.changeLimit(RequestRate{GetParam().Limit / 3});
+  const auto Changed = Model.now();
+  Model.run(Millis{20'000});
+  EXPECT_LE(Model.arrivals().most(Window, Changed + ReactionTime),
+            Model.allowed());
+}
+
+TEST_P(RateLimitFleet, LimitThatRisesIsUsedSoon) {
+  Model.changeLimit(RequestRate{RequestRate::MinPerSecond});
+  Model.run(Millis{10'000});
+  Model.changeLimit(RequestRate{GetParam().Limit});
+  Model.run(Millis{18'000});
+  expectLimitHolds();
+  expectMostIsUsed(Millis{16'000});
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/test/platform/rate_limit_test.cpp
+++ b/test/platform/rate_limit_test.cpp
@@ -94,5 +94,21 @@
   EXPECT_EQ(WronglyRefused, 0);
 }
 
+TEST(PlatformRateLimit, LimitThatIsWithdrawnEndsOnAllVms) {
+  Fleet TestFleet{1, VmCount};
+  ASSERT_NO_FATAL_FAILURE(waitUntilAllAreReady(TestFleet));
+  TestFleet.replica(0).RateLimit = 2;
+  const auto Ignore = [](const CallResult &) {};
+  sendOrders(TestFleet, ReactionTime, Millis{60}, Ignore);
+  TestFleet.replica(0).RateLimit = 0;
+  sendOrders(TestFleet, ReactionTime, Millis{60}, Ignore);
+  std::atomic<int> NotServed{0};
+  sendOrders(TestFleet, Millis{2'000}, Millis{20},
+             [&](const CallResult &Result) {
+               NotServed += Result.Status == 200 ? 0 : 1;
+             });
+  EXPECT_EQ(NotServed, 0);
+}
+
 } // namespace
 } // namespace platform_test
