A VM whose requests wait for a budget or target records it in the ledger itself

What callers saw: after a target was added while one VM stood still, requests for it were refused for two seconds, 503 `overloaded`, although every slot was free.

Cause: one VM, by rendezvous hashing, appends the capacity of a target or the first top-up of a workspace to the ledger; the others wait two seconds for it. A VM that is frozen, or that has not read the configuration yet, leaves the pool unknown for so long, more than a request may wait. Now a VM with a request that waits for a pool appends its items at once. They carry the plan's id or the version, so the ledger takes one of several.

--- a/src/goldcrestnotch/catalog/service.cpp
+++ b/src/goldcrestnotch/catalog/service.cpp
@@ -13,8 +13,9 @@
 /// Interval of periodic work while calls of `wait` are pending. It is ten times
 /// as long otherwise.
 static constexpr Millis TickInterval{50};
-/// The home VM of an item appends it to the ledger at once. Other VMs append it
-/// only if it is still missing after this delay.
+/// The home VM of an item appends it to the ledger at once, and so does a VM
+/// whose requests wait for it. Other VMs append it only if it is still missing
+/// after this delay.
 static constexpr Millis OtherVmDelay{2'000};
 /// Delay before an item that is still missing from the ledger is appended
 /// again.
@@ -54,7 +55,7 @@
                         std::make_shared<Catalog>(ConfigFollower.state())});
   Host.metrics().set("config_version",
                      static_cast<double>(catalog().version()));
-  forwardToLedger();
+  forwardToLedger({});
   for (const auto &Callback : ChangeHooks) {
     Callback();
   }
@@ -88,37 +89,46 @@
                                         : internal::TickInterval);
     Timer.async_wait(Yield);
     settleWaiters();
-    forwardToLedger();
+    forwardToLedger({});
     saveSnapshot(Yield);
   }
 }
 
-void CatalogService::forwardToLedger() {
+void CatalogService::expedite(const PoolId &Awaited) {
+  forwardToLedger(Awaited);
+}
+
+void CatalogService::forwardToLedger(const PoolId &Awaited) {
   if (!Host.service<LedgerService>().ready()) {
     return;
   }
   for (const auto *Entry : catalog().topUps()) {
-    forwardTopUps(*Entry);
+    forwardTopUps(*Entry, Awaited);
   }
   for (const auto &[Name, Target] : catalog().targets()) {
-    forwardCapacity(Target);
+    forwardCapacity(Target, Awaited);
   }
 }
 
-bool CatalogService::beginForward(const std::string &Key) {
+bool CatalogService::beginForward(const std::string &Key, bool IsAwaited) {
   const auto Now = DecisionClock::now();
   const bool IsHome =
       Host.service<Membership>().view().home(Key) == Host.self().Vm;
-  const auto FirstAttempt = Now + (IsHome ? Millis{0} : internal::OtherVmDelay);
-  const auto It = ForwardTimes.try_emplace(Key, FirstAttempt).first;
-  if (Now < It->second) {
+  auto &Entry =
+      Forwards
+          .try_emplace(
+              Key, Forward{Now + (IsHome ? Millis{0} : internal::OtherVmDelay)})
+          .first->second;
+  const bool FirstIsAwaited = IsAwaited && !Entry.Appended;
+  if (Now < Entry.NextAppend && !FirstIsAwaited) {
     return false;
   }
-  It->second = Now + internal::ForwardRetryDelay;
+  Entry = Forward{Now + internal::ForwardRetryDelay, true};
   return true;
 }
 
-void CatalogService::forwardTopUps(const PlanEntry &Entry) {
+void CatalogService::forwardTopUps(const PlanEntry &Entry,
+                                   const PoolId &Awaited) {
   std::size_t Index = 0;
   for (const auto &Change : Entry.Stated.Changes) {
     const auto *AddedTokens = std::get_if<BudgetTopUp>(&Change);
@@ -129,22 +139,23 @@
     const auto Pool = budgetPool(AddedTokens->Name);
     auto &Shard = Host.service<LedgerService>().shard(Pool);
     if (Shard.state().contains(Part)) {
-      ForwardTimes.erase(Part.str());
-    } else if (beginForward(Part.str())) {
+      Forwards.erase(Part.str());
+    } else if (beginForward(Part.str(), Pool == Awaited)) {
       Shard.emplace(TopUp{Pool, Part, AddedTokens->Amount});
     }
   }
 }
 
-void CatalogService::forwardCapacity(const Target &Changed) {
+void CatalogService::forwardCapacity(const Target &Changed,
+                                     const PoolId &Awaited) {
   const auto Pool = slotPool(Changed.Name);
   auto &Shard = Host.service<LedgerService>().shard(Pool);
   const auto *State = Shard.state().find(Pool);
   const auto Version = catalog().changeVersion("target:" + Changed.Name.str());
   const auto Key = Pool.str() + "@" + std::to_string(Version);
   if (State != nullptr && State->Version >= Version) {
-    ForwardTimes.erase(Key);
-  } else if (beginForward(Key)) {
+    Forwards.erase(Key);
+  } else if (beginForward(Key, Pool == Awaited)) {
     Shard.emplace(Capacity{Pool, Version, Tokens{Changed.Capacity}});
   }
 }
--- a/src/goldcrestnotch/catalog/service.hpp
+++ b/src/goldcrestnotch/catalog/service.hpp
@@ -56,6 +56,12 @@
     ChangeHooks.push_back(std::move(Callback));
   }
 
+  /// @brief Appends the items that create a pool to the ledger at once, without
+  /// waiting for the VM that is their home. Appending an item twice is
+  /// harmless.
+  /// @warning For the control thread only.
+  void expedite(const PoolId &Awaited);
+
   void start() override;
 
 private:
@@ -66,13 +72,20 @@
     std::function<void(bool)> Done;
   };
 
+  /// @brief An item that is to be appended to the ledger.
+  struct Forward {
+    Instant NextAppend;
+    bool Appended = false; ///< This VM has appended it at least once.
+  };
+
   void publish();
   void runPeriodicWork(boost::asio::yield_context Yield);
   void settleWaiters();
-  void forwardToLedger();
-  void forwardTopUps(const PlanEntry &Entry);
-  void forwardCapacity(const Target &Changed);
-  [[nodiscard]] bool beginForward(const std::string &Key);
+  /// @param Awaited The pool that requests wait for; empty for none.
+  void forwardToLedger(const PoolId &Awaited);
+  void forwardTopUps(const PlanEntry &Entry, const PoolId &Awaited);
+  void forwardCapacity(const Target &Changed, const PoolId &Awaited);
+  [[nodiscard]] bool beginForward(const std::string &Key, bool IsAwaited);
   void saveSnapshot(boost::asio::yield_context Yield);
 
   Kernel &Host;
@@ -81,7 +94,7 @@
   std::atomic<bool> Ready{false};
   std::list<Waiter> Waiters;
   std::vector<std::function<void()>> ChangeHooks;
-  std::map<std::string, Instant> ForwardTimes; ///< Next append by item.
+  std::map<std::string, Forward> Forwards; ///< By item.
   Instant NextSnapshot{};
 };
 
--- a/src/goldcrestnotch/entry/chat_handler.cpp
+++ b/src/goldcrestnotch/entry/chat_handler.cpp
@@ -189,9 +189,12 @@
     auto &Shard = Context.ledger().shard(Pool);
     const auto Result = await<Decision>(Exchange.yield(), [&](auto Done) {
       asio::post(Context.host().control(), [&Shard, this, Done] {
-        const auto &Catalog = Context.catalogService().catalog();
+        auto &Catalogs = Context.catalogService();
         const bool Pending = Shard.state().find(Pool) == nullptr &&
-                             Catalog.hasTopUp(CallerWorkspace.Name);
+                             Catalogs.catalog().hasTopUp(CallerWorkspace.Name);
+        if (Pending) {
+          Catalogs.expedite(Pool);
+        }
         const auto Creation =
             Pending ? PoolCreation::Pending : PoolCreation::None;
         Shard.admit(Pool, Chat.Bound, Creation, Done);
--- a/src/goldcrestnotch/placement/service.cpp
+++ b/src/goldcrestnotch/placement/service.cpp
@@ -59,6 +59,9 @@
   }
   const auto Chosen = Catalog.targets().at(Ranked.front());
   const auto Pool = slotPool(Chosen.Name);
+  if (Ledger.shard(Pool).state().find(Pool) == nullptr) {
+    Host.service<CatalogService>().expedite(Pool);
+  }
   Ledger.shard(Pool).reserveSlot(
       Pool, [Chosen, Done](const Decision &SlotDecision) {
         if (std::holds_alternative<Admitted>(SlotDecision)) {
