--- a/src/goldcrestnotch/roster/homes.cpp
+++ b/src/goldcrestnotch/roster/homes.cpp
@@ -38,12 +38,12 @@
 }
 
 template <typename Key>
-void Homes<Key>::update(std::vector<LiveVm> NewLiveVms,
+void Homes<Key>::update(const std::vector<LiveVm> &NewLiveVms,
                         std::size_t NewHomeCount) {
   if (NewLiveVms == LiveVms && NewHomeCount == HomeCount) {
     return;
   }
-  LiveVms = std::move(NewLiveVms);
+  LiveVms = NewLiveVms;
   HomeCount = NewHomeCount;
   Assignments.clear();
 }
--- a/src/goldcrestnotch/roster/homes.hpp
+++ b/src/goldcrestnotch/roster/homes.hpp
@@ -31,7 +31,7 @@
 
   /// @brief Replaces the list of live VMs.
   /// @param NewHomeCount Number of homes of each resource.
-  void update(std::vector<LiveVm> NewLiveVms, std::size_t NewHomeCount);
+  void update(const std::vector<LiveVm> &NewLiveVms, std::size_t NewHomeCount);
 
 private:
   /// @brief The homes of one resource as seen from this VM.
