--- a/test/model/rate_limit_fleet_test.cpp
+++ b/test/model/rate_limit_fleet_test.cpp
@@ -155,7 +155,7 @@
     for (const auto Number : Vm.View) {
       Live.push_back(Vms[Number].Entry);
     }
-    Vm.Issuers.update(std::move(Live), IssuersPerTarget);
+    Vm.Issuers.update(Live, IssuersPerTarget);
   }
 
   /// @brief The response of an issuer.
