--- a/src/goldcrestnotch/http/session.cpp
+++ b/src/goldcrestnotch/http/session.cpp
@@ -54,6 +54,7 @@
   }
 
   Instant ConnectDeadline = Instant::max();
+  Instant FirstByte{}; ///< Of the last response; the epoch if there was none.
 
 private:
   using Stream = beast::basic_stream<tcp, asio::io_context::executor_type>;
@@ -103,6 +104,7 @@
     BeastRequest.body() = Message.Body;
     BeastRequest.prepare_payload();
     boost::system::error_code Failure;
+    FirstByte = Instant{};
     setDeadline(Deadline);
     wire::async_write(*Socket, BeastRequest, Yield[Failure]);
     wire::response_parser<wire::string_body> Parser;
@@ -110,6 +112,7 @@
     const auto FinalDeadline = Deadline + internal::MaxOverrun;
     while (!Failure && !Parser.is_done()) {
       wire::async_read_some(*Socket, Buffer, Parser, Yield[Failure]);
+      FirstByte = FirstByte == Instant{} ? DecisionClock::now() : FirstByte;
       setDeadline(std::max(
           Deadline, std::min(DecisionClock::now() + internal::StallTimeout,
                              FinalDeadline)));
@@ -146,6 +149,8 @@
   Impl->ConnectDeadline = Deadline;
 }
 
+Instant Session::firstByte() const noexcept { return Impl->FirstByte; }
+
 Response Session::send(asio::yield_context Yield, const Request &Message,
                        Instant Deadline) {
   return Impl->send(Yield, Message, Deadline);
--- a/src/goldcrestnotch/http/session.hpp
+++ b/src/goldcrestnotch/http/session.hpp
@@ -33,6 +33,9 @@
   /// @throws Error whose verdict is `not-run` only if no byte was sent.
   [[nodiscard]] Response send(boost::asio::yield_context Yield,
                               const Request &Message, Instant Deadline);
+  /// @brief When the first bytes of the last response arrived; the epoch if
+  /// none did.
+  [[nodiscard]] Instant firstByte() const noexcept;
 
 private:
   class State;
