A VM whose view is older than that of others asks them, and refuses once it is outdated

Cause: a read of the store that makes progress on a full link may take ten seconds (240 KB of configuration, behind callers' bytes on 10 Mbit/s), and the VM went on deciding by its old copy without bound. Other VMs were asked only while no call of any partition was answered.

Now each feed knows as of when its copy is complete. Once that is over a second old, a VM asks two others by datagram, four times a second, how far they are. If they have nothing newer, that is a proof; targets that left since are in the answer. If they have a newer configuration and the own copy is older than a configuration may take to be in force, requests are refused with 503 and the VM is not ready, until it has caught up. While nobody has more, as in an outage of the store, nothing changes. A request that waited (for a permit or a connection) looks at its target once more before the first byte is sent.

--- a/src/goldcrestnotch/backend/target.hpp
+++ b/src/goldcrestnotch/backend/target.hpp
@@ -49,6 +49,9 @@
   Instant PausedUntil{}; ///< Other targets are preferred until then.
   Instant FullUntil{};   ///< It refused a request for lack of capacity; other
                          ///< targets are preferred until then.
+  /// Another VM says that it leaves. Stays set until another incarnation, even
+  /// if a record from before arrives later.
+  bool ToldLeaving = false;
   PromptKind ReservedFor = PromptKind::Any;
   /// Requests that the target takes from all VMs together, as it stated last;
   /// nothing while it states none.
@@ -59,6 +62,10 @@
   /// Requests that this VM has sent to it since it began to state a limit.
   std::uint64_t SentWhileLimited = 0;
 
+  /// @brief Whether it accepts no new requests.
+  [[nodiscard]] bool leaving() const noexcept {
+    return Registered.Leaving || ToldLeaving;
+  }
   /// @brief Whether the registration has disappeared from the registry.
   [[nodiscard]] bool missing() const noexcept {
     return RemovalDeadline != Instant::max();
--- a/src/goldcrestnotch/backend/target_set.cpp
+++ b/src/goldcrestnotch/backend/target_set.cpp
@@ -67,7 +67,7 @@
 
 bool TargetSet::eligible(const Target &Candidate,
                          const TargetRequest &Request) {
-  return !Candidate.Registered.Leaving &&
+  return !Candidate.leaving() &&
          Request.Version.allows(Candidate.Registered.Version) &&
          std::find(Request.Excluded.begin(), Request.Excluded.end(),
                    Candidate.Registered.Name) == Request.Excluded.end();
--- /dev/null
+++ b/src/goldcrestnotch/notices/fwd.hpp
@@ -0,0 +1,12 @@
+/// @file
+/// Forward declarations of the notices module.
+
+#pragma once
+
+namespace goldcrestnotch::notices {
+
+struct ViewRequest;
+struct ViewResponse;
+class NoticeSocket;
+
+} // namespace goldcrestnotch::notices
--- /dev/null
+++ b/src/goldcrestnotch/notices/message.cpp
@@ -0,0 +1,87 @@
+/// @file
+/// CBOR encoding and decoding of notices. Each one is an array that begins with
+/// its kind.
+
+#include "goldcrestnotch/notices/message.hpp"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace goldcrestnotch::notices {
+
+using nlohmann::json;
+
+namespace internal {
+
+enum class Kind : std::uint64_t { ViewRequest = 1, ViewResponse = 2 };
+
+/// A stated age is bounded, so that differences of times can't overflow.
+static constexpr std::uint64_t MaxAgeMs = 3'600'000;
+
+[[nodiscard]] static json toJson(const ViewRequest &Source) {
+  return {Kind::ViewRequest, Source.Nonce, Source.OperatorEnd,
+          Source.TargetsEnd};
+}
+
+[[nodiscard]] static json toJson(const PartitionView &Source) {
+  const auto AgeMs = std::clamp<std::int64_t>(
+      Source.ProofAge.count(), 0, static_cast<std::int64_t>(MaxAgeMs));
+  return {Source.End, static_cast<std::uint64_t>(AgeMs)};
+}
+
+[[nodiscard]] static json toJson(const ViewResponse &Source) {
+  return {Kind::ViewResponse,     Source.Nonce,   toJson(Source.Operator),
+          toJson(Source.Targets), Source.Leaving, Source.Deleted,
+          Source.Complete};
+}
+
+/// @throws json::exception if the value is no unsigned integer.
+[[nodiscard]] static std::uint64_t unsignedOf(const json &Value) {
+  return Value.get_ref<const json::number_unsigned_t &>();
+}
+
+[[nodiscard]] static PartitionView viewOf(const json &Value) {
+  const auto AgeMs = std::min(unsignedOf(Value.at(1)), MaxAgeMs);
+  return {unsignedOf(Value.at(0)), Millis{static_cast<std::int64_t>(AgeMs)}};
+}
+
+[[nodiscard]] static std::vector<std::uint64_t> hashesOf(const json &Value) {
+  std::vector<std::uint64_t> Result;
+  for (const auto &Item : Value) {
+    Result.push_back(unsignedOf(Item));
+  }
+  return Result;
+}
+
+} // namespace internal
+
+std::string encode(const Message &Source) {
+  const auto Bytes = json::to_cbor(std::visit(
+      [](const auto &Content) { return internal::toJson(Content); }, Source));
+  return {Bytes.begin(), Bytes.end()};
+}
+
+std::optional<Message> decodeMessage(std::span<const unsigned char> Bytes) {
+  try {
+    const auto Document = json::from_cbor(Bytes.begin(), Bytes.end());
+    switch (static_cast<internal::Kind>(internal::unsignedOf(Document.at(0)))) {
+    case internal::Kind::ViewRequest:
+      return ViewRequest{internal::unsignedOf(Document.at(1)),
+                         internal::unsignedOf(Document.at(2)),
+                         internal::unsignedOf(Document.at(3))};
+    case internal::Kind::ViewResponse:
+      return ViewResponse{internal::unsignedOf(Document.at(1)),
+                          internal::viewOf(Document.at(2)),
+                          internal::viewOf(Document.at(3)),
+                          internal::hashesOf(Document.at(4)),
+                          internal::hashesOf(Document.at(5)),
+                          Document.at(6).get<bool>()};
+    }
+  } catch (const json::exception &) {
+    return std::nullopt; // The caller counts what it can't read.
+  }
+  return std::nullopt;
+}
+
+} // namespace goldcrestnotch::notices
--- /dev/null
+++ b/src/goldcrestnotch/notices/message.hpp
@@ -0,0 +1,57 @@
+/// @file
+/// The datagrams by which VMs tell each other what they know, in CBOR.
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "goldcrestnotch/core/instant.hpp"
+
+namespace goldcrestnotch::notices {
+
+/// Every message is shorter than this, so that it fits into one packet.
+inline constexpr std::size_t MaxMessageBytes = 1'200;
+/// Maximum number of targets in one message.
+inline constexpr std::size_t MaxTargets = 64;
+
+/// @brief Asks another VM how current its copies of two partitions are.
+struct ViewRequest {
+  std::uint64_t Nonce = 0;       ///< Identifies the response.
+  std::uint64_t OperatorEnd = 0; ///< Known end of the operator's partition.
+  std::uint64_t TargetsEnd = 0;  ///< Known end of the targets' partition.
+};
+
+/// @brief What a VM knows about one partition.
+struct PartitionView {
+  std::uint64_t End = 0; ///< The newest known offset plus one.
+  Millis ProofAge{0};    ///< Time since it knew all records of the store.
+};
+
+/// @brief Response to a `ViewRequest`.
+struct ViewResponse {
+  std::uint64_t Nonce = 0;
+  PartitionView Operator;
+  PartitionView Targets;
+  /// Hashes of the names of targets that began to leave, or whose registration
+  /// was deleted, at or after the requested offset.
+  std::vector<std::uint64_t> Leaving;
+  std::vector<std::uint64_t> Deleted;
+  bool Complete = true; ///< The lists above contain all such targets.
+};
+
+using Message = std::variant<ViewRequest, ViewResponse>;
+
+/// @brief Encodes a message.
+[[nodiscard]] std::string encode(const Message &Source);
+/// @brief Decodes a message.
+/// @return Nothing if the bytes are not a valid message.
+[[nodiscard]] std::optional<Message>
+decodeMessage(std::span<const unsigned char> Bytes);
+
+} // namespace goldcrestnotch::notices
--- /dev/null
+++ b/src/goldcrestnotch/notices/notice_socket.cpp
@@ -0,0 +1,72 @@
+/// @file
+/// Sending and receiving of notices.
+
+#include "goldcrestnotch/notices/notice_socket.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+
+#include "goldcrestnotch/roster/udp_endpoints.hpp"
+
+namespace goldcrestnotch::notices {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+NoticeSocket::NoticeSocket(asio::io_context &Loop, const http::Endpoint &Listen,
+                           Metrics &Counters)
+    : Socket{Loop, udp::endpoint{asio::ip::make_address(Listen.Address),
+                                 Listen.Port}},
+      Port{Socket.local_endpoint().port()}, Counters{Counters} {
+  Socket.non_blocking(true);
+}
+
+void NoticeSocket::start(Handler MessageHandler) {
+  OnMessage = std::move(MessageHandler);
+  receive();
+}
+
+void NoticeSocket::updatePeers(const std::vector<std::string> &Addresses) {
+  Peers = roster::udpEndpoints(Addresses, Port);
+}
+
+void NoticeSocket::send(const Message &Content, const Endpoint &To) {
+  const auto Bytes = encode(Content);
+  // A datagram that can't be sent counts as lost.
+  boost::system::error_code Ignored;
+  Socket.send_to(asio::buffer(Bytes), To, 0, Ignored);
+}
+
+void NoticeSocket::sendToSome(const Message &Content, std::size_t Count,
+                              const std::function<double()> &Draw) {
+  // The first `Count` positions of a random permutation.
+  for (std::size_t I = 0; I < std::min(Count, Peers.size()); ++I) {
+    const auto Remaining = static_cast<double>(Peers.size() - I);
+    std::swap(Peers[I],
+              Peers[I + static_cast<std::size_t>(Draw() * Remaining)]);
+    send(Content, Peers[I]);
+  }
+}
+
+void NoticeSocket::receive() {
+  Socket.async_receive_from(
+      asio::buffer(Incoming), Sender,
+      [this](const boost::system::error_code &Failure, std::size_t ByteCount) {
+        if (Failure == asio::error::operation_aborted) {
+          return;
+        }
+        if (!Failure) {
+          if (const auto Content =
+                  decodeMessage(std::span{Incoming}.first(ByteCount))) {
+            OnMessage(*Content, Sender);
+          } else {
+            Counters.count("notices_unreadable_total");
+          }
+        }
+        receive();
+      });
+}
+
+} // namespace goldcrestnotch::notices
--- /dev/null
+++ b/src/goldcrestnotch/notices/notice_socket.hpp
@@ -0,0 +1,61 @@
+/// @file
+/// The UDP socket for notices between VMs. A lost datagram only costs time.
+
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include "goldcrestnotch/http/message.hpp"
+#include "goldcrestnotch/notices/message.hpp"
+#include "goldcrestnotch/telemetry/metrics.hpp"
+
+namespace goldcrestnotch::notices {
+
+/// @brief Sends messages to other VMs and receives theirs.
+class NoticeSocket {
+public:
+  using Endpoint = boost::asio::ip::udp::endpoint;
+  using Handler = std::function<void(const Message &, const Endpoint &From)>;
+
+  /// @param Listen The local address, and the port that all VMs use.
+  /// @throws boost::system::system_error if the address can't be bound.
+  NoticeSocket(boost::asio::io_context &Loop, const http::Endpoint &Listen,
+               Metrics &Counters);
+
+  /// @brief The port that the socket is bound to.
+  [[nodiscard]] std::uint16_t port() const {
+    return Socket.local_endpoint().port();
+  }
+  /// @brief Starts to receive messages.
+  void start(Handler OnMessage);
+  /// @brief Replaces the list of the other live VMs.
+  /// @param Addresses IP addresses; those that can't be parsed are skipped.
+  void updatePeers(const std::vector<std::string> &Addresses);
+
+  void send(const Message &Content, const Endpoint &To);
+  /// @brief Sends a message to some of the other VMs, chosen at random.
+  /// @param Draw Returns a uniformly distributed number in [0, 1).
+  void sendToSome(const Message &Content, std::size_t Count,
+                  const std::function<double()> &Draw);
+
+private:
+  void receive();
+
+  boost::asio::ip::udp::socket Socket;
+  std::uint16_t Port;
+  Metrics &Counters;
+  Handler OnMessage;
+  std::vector<Endpoint> Peers;
+  std::array<unsigned char, MaxMessageBytes> Incoming{};
+  Endpoint Sender;
+};
+
+} // namespace goldcrestnotch::notices
--- /dev/null
+++ b/src/goldcrestnotch/notices/view_exchange.cpp
@@ -0,0 +1,138 @@
+/// @file
+/// Questions and answers about the currency of views.
+
+#include "goldcrestnotch/notices/view_exchange.hpp"
+
+#include <utility>
+
+#include "goldcrestnotch/core/hash.hpp"
+#include "goldcrestnotch/telemetry/log.hpp"
+
+namespace goldcrestnotch::notices {
+
+namespace internal {
+
+/// A healthy VM reads the operator's partition by long polls of a second, so
+/// its proof is up to that old, and the time of a call more.
+static constexpr Millis MinOperatorAskAge{1'300};
+/// Fraction of the permitted age of a view at which other VMs are asked.
+static constexpr double AskFraction = 0.4;
+/// Answers to older questions are ignored.
+static constexpr Millis AnswerTimeout{5'000};
+static constexpr double MaxNonce = 1e15;
+
+[[nodiscard]] static Millis askAge(Millis MaxAge) {
+  return std::chrono::duration_cast<Millis>(MaxAge * AskFraction);
+}
+
+/// @brief Adds the hashes of names as far as they fit into a message.
+/// @return Whether all of them did.
+[[nodiscard]] static bool addHashes(const std::vector<TargetId> &Names,
+                                    std::size_t Limit,
+                                    std::vector<std::uint64_t> &Hashes) {
+  for (const auto &Name : Names) {
+    if (Hashes.size() >= Limit) {
+      return false;
+    }
+    Hashes.push_back(hashOf(Name.str()));
+  }
+  return true;
+}
+
+} // namespace internal
+
+ViewExchange::ViewExchange(NoticeSocket &Socket, backend::TargetSet &Targets,
+                           ViewSources Sources, Millis OperatorMaxAge,
+                           Millis TargetsMaxAge)
+    : Socket{Socket}, Targets{Targets}, Sources{std::move(Sources)},
+      Operator{OperatorMaxAge}, TargetList{TargetsMaxAge},
+      OperatorAskAge{std::max(internal::askAge(OperatorMaxAge),
+                              internal::MinOperatorAskAge)},
+      TargetsAskAge{internal::askAge(TargetsMaxAge)} {}
+
+void ViewExchange::refresh() {
+  const auto OwnOperator = Sources.Operator();
+  Operator.observeOwn(OwnOperator.ProvenAt, OwnOperator.End);
+  const auto OwnTargets = Sources.Targets();
+  TargetList.observeOwn(OwnTargets.ProvenAt, OwnTargets.End);
+}
+
+bool ViewExchange::outdated(Instant Now) {
+  refresh();
+  const bool Result = Operator.outdated(Now) || TargetList.outdated(Now);
+  if (Result != std::exchange(WasOutdated, Result)) {
+    log(LogLevel::Warn, Result ? "view.outdated" : "view.current",
+        {{"operator_age_ms", Operator.age(Now).count()},
+         {"operator_behind", Operator.behind()},
+         {"targets_age_ms", TargetList.age(Now).count()},
+         {"targets_behind", TargetList.behind()}});
+  }
+  return Result;
+}
+
+bool ViewExchange::operatorBehind() {
+  refresh();
+  return Operator.behind();
+}
+
+void ViewExchange::maintain(Instant Now, const std::function<double()> &Draw) {
+  refresh();
+  std::erase_if(Asked, [&](const auto &Entry) {
+    return Now - Entry.second > internal::AnswerTimeout;
+  });
+  if (Operator.age(Now) <= OperatorAskAge &&
+      TargetList.age(Now) <= TargetsAskAge) {
+    return;
+  }
+  const auto Nonce = static_cast<std::uint64_t>(Draw() * internal::MaxNonce);
+  Asked[Nonce] = Now;
+  Socket.sendToSome(
+      ViewRequest{Nonce, Sources.Operator().End, Sources.Targets().End},
+      PeersPerRound, Draw);
+}
+
+void ViewExchange::handle(Instant Now, const ViewRequest &Request,
+                          const NoticeSocket::Endpoint &From) {
+  refresh();
+  ViewResponse Response;
+  Response.Nonce = Request.Nonce;
+  Response.Operator = {Sources.Operator().End, Operator.age(Now)};
+  Response.Targets = {Sources.Targets().End, TargetList.age(Now)};
+  // The age of this VM's proof holds for what it has itself.
+  const auto Departed = Sources.DepartedSince(Request.TargetsEnd);
+  Response.Complete =
+      internal::addHashes(Departed.Leaving, MaxTargets, Response.Leaving) &&
+      internal::addHashes(Departed.Deleted,
+                          MaxTargets - Response.Leaving.size(),
+                          Response.Deleted);
+  Socket.send(Response, From);
+}
+
+void ViewExchange::handle(Instant Now, const ViewResponse &Response) {
+  const auto Question = Asked.find(Response.Nonce);
+  if (Question == Asked.end()) {
+    return; // Late, or not meant for this process.
+  }
+  refresh();
+  const auto Sent = Question->second;
+  Operator.observeOther(Sent - Response.Operator.ProofAge,
+                        Response.Operator.End);
+  for (const auto Hash : Response.Leaving) {
+    if (const auto Target = Targets.find(Hash); Target && !Target->leaving()) {
+      Target->ToldLeaving = true;
+      log(LogLevel::Info, "target.told_leaving",
+          {{"target", Target->Registered.Name.str()},
+           {"own_age_ms", TargetList.age(Now).count()}});
+    }
+  }
+  for (const auto Hash : Response.Deleted) {
+    if (const auto Target = Targets.find(Hash)) {
+      Sources.OnDeleted(Target->Registered.Name);
+    }
+  }
+  // A complete list of the targets that left is as good as the records.
+  TargetList.observeOther(Sent - Response.Targets.ProofAge,
+                          Response.Complete ? 0 : Response.Targets.End);
+}
+
+} // namespace goldcrestnotch::notices
--- /dev/null
+++ b/src/goldcrestnotch/notices/view_exchange.hpp
@@ -0,0 +1,82 @@
+/// @file
+/// Keeps a VM's copies of the operator's and the targets' partitions current
+/// when its own reads of the store are late: asks other VMs how far they are,
+/// and answers their questions.
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "goldcrestnotch/backend/target_set.hpp"
+#include "goldcrestnotch/notices/message.hpp"
+#include "goldcrestnotch/notices/notice_socket.hpp"
+#include "goldcrestnotch/store/view_freshness.hpp"
+
+namespace goldcrestnotch::notices {
+
+/// @brief What this VM has of a partition.
+struct OwnView {
+  Instant ProvenAt{};    ///< All records of that time are known.
+  std::uint64_t End = 0; ///< The newest known offset plus one.
+};
+
+/// @brief Names of targets whose records say that no request may go there.
+struct DepartedTargets {
+  std::vector<TargetId> Leaving;
+  std::vector<TargetId> Deleted;
+};
+
+/// @brief Access to what the VM has read.
+struct ViewSources {
+  std::function<OwnView()> Operator;
+  std::function<OwnView()> Targets;
+  /// Returns the targets that left at or after an offset.
+  std::function<DepartedTargets(std::uint64_t)> DepartedSince;
+  /// Takes the name of a target that another VM knows to be deleted.
+  std::function<void(const TargetId &)> OnDeleted;
+};
+
+/// @brief Asks and answers questions about the currency of views.
+class ViewExchange {
+public:
+  /// Number of VMs that are asked at a time.
+  static constexpr std::size_t PeersPerRound = 2;
+
+  /// @param OperatorMaxAge How old a configuration may be once another VM has a
+  /// newer one.
+  /// @param TargetsMaxAge How old the list of targets may be.
+  ViewExchange(NoticeSocket &Socket, backend::TargetSet &Targets,
+               ViewSources Sources, Millis OperatorMaxAge,
+               Millis TargetsMaxAge);
+
+  /// @brief Whether one of the views is too old to decide by.
+  [[nodiscard]] bool outdated(Instant Now);
+  /// @brief Whether another VM has operator records that this one misses.
+  [[nodiscard]] bool operatorBehind();
+  /// @brief Asks other VMs if a view has not been proven current for a while.
+  /// @param Draw Returns a uniformly distributed number in [0, 1).
+  void maintain(Instant Now, const std::function<double()> &Draw);
+
+  void handle(Instant Now, const ViewRequest &Request,
+              const NoticeSocket::Endpoint &From);
+  void handle(Instant Now, const ViewResponse &Response);
+
+private:
+  void refresh();
+
+  NoticeSocket &Socket;
+  backend::TargetSet &Targets;
+  ViewSources Sources;
+  store::ViewFreshness Operator;
+  store::ViewFreshness TargetList;
+  Millis OperatorAskAge;
+  Millis TargetsAskAge;
+  std::map<std::uint64_t, Instant> Asked; ///< Times of requests, by nonce.
+  bool WasOutdated = false;
+};
+
+} // namespace goldcrestnotch::notices
--- a/src/goldcrestnotch/proxy/attempt_plan.hpp
+++ b/src/goldcrestnotch/proxy/attempt_plan.hpp
@@ -16,6 +16,7 @@
 enum class AttemptResult : std::uint8_t {
   Completed,        ///< The caller has the complete response.
   Unreachable,      ///< No connection; no byte of the request was sent.
+  TargetLeft,       ///< It left before the request was sent.
   NotExecuted,      ///< The target states that it did not execute the request.
   WrongTarget,      ///< Another target answered and did not execute it.
   Failed,           ///< The target executed it and reports a server error.
@@ -73,6 +74,7 @@
     }
     return State.MayHaveRun ? NextStep::ReportTimeout : NextStep::Reject;
   case AttemptResult::Unreachable:
+  case AttemptResult::TargetLeft:
   case AttemptResult::NotExecuted:
   case AttemptResult::WrongTarget:
   case AttemptResult::ResponseLost:
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -105,6 +105,11 @@
     reject(503, "no_configuration", retryDelay());
     return false;
   }
+  if (Context.ViewOutdated()) {
+    Caller.disableKeepAlive(); // The caller may then connect to another VM.
+    reject(503, "view_outdated", retryDelay());
+    return false;
+  }
   const auto RequestTarget = view(Request.target());
   MatchedRoute = Table->find(view(Request[wire::field::host]),
                              RequestTarget.substr(0, RequestTarget.find('?')));
@@ -239,9 +244,7 @@
         LastResort ? std::max(WaitDeadline - Now, Millis{0}) : Millis{0});
     if (Permit.Granted) {
       waitFor(Permit.Wait);
-      // The target may have left during the wait.
-      if (!Target->Registered.Leaving &&
-          Context.Targets.find(Target->Registered.Name) == Target) {
+      if (mayReceive(Target)) {
         return Target;
       }
     }
@@ -253,6 +256,12 @@
   return nullptr;
 }
 
+bool Exchange::mayReceive(
+    const std::shared_ptr<backend::Target> &Target) const {
+  return !Target->leaving() &&
+         Context.Targets.find(Target->Registered.Name) == Target;
+}
+
 Instant Exchange::permitDeadline() const {
   const auto Objective = MatchedRoute->LatencyObjective;
   const auto Limit =
@@ -313,6 +322,10 @@
   if (Caller.checkGone()) {
     return AttemptResult::CallerGone;
   }
+  if (!mayReceive(Target)) {
+    Cause = "target_left";
+    return AttemptResult::TargetLeft;
+  }
   const auto *ChosenService = Table->service(Service);
   Upstream Remote{
       Connection, buildRequest(Target->Registered, DecisionClock::now()),
@@ -538,6 +551,7 @@
   case AttemptResult::WrongTarget:
     Target.PausedUntil = Now + internal::MinBackoff;
     break;
+  case AttemptResult::TargetLeft:
   case AttemptResult::DeadlineExceeded:
   case AttemptResult::CallerGone:
     break;
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -62,6 +62,10 @@
   /// @return Null if none is eligible.
   [[nodiscard]] std::shared_ptr<backend::Target>
   pickTarget(backend::TargetRequest &Wanted, double VersionDraw);
+  /// @brief Whether a chosen target may still get the request: it may have left
+  /// during a wait.
+  [[nodiscard]] bool
+  mayReceive(const std::shared_ptr<backend::Target> &Target) const;
   /// @brief Until when the request may wait for a permit.
   [[nodiscard]] Instant permitDeadline() const;
   void waitFor(Millis Duration);
--- a/src/goldcrestnotch/proxy/proxy_context.hpp
+++ b/src/goldcrestnotch/proxy/proxy_context.hpp
@@ -48,6 +48,8 @@
   std::function<void(const TargetId &, std::int64_t)> AnnouncePrompt;
   /// Returns how long the store has not answered; zero if it is reachable.
   std::function<Millis()> StoreOutage;
+  /// Returns whether what this VM knows is too old to decide by.
+  std::function<bool()> ViewOutdated;
   LoopDelay Delay;
   std::mt19937_64 Random{std::random_device{}()};
 
--- a/src/goldcrestnotch/store/keyed_feed.hpp
+++ b/src/goldcrestnotch/store/keyed_feed.hpp
@@ -35,6 +35,9 @@
   [[nodiscard]] std::uint64_t nextOffset() const noexcept { return NextOffset; }
   /// @brief The newest known offset plus one, from the store or from other VMs.
   [[nodiscard]] std::uint64_t knownEnd() const noexcept { return KnownEnd; }
+  /// @brief All records that the store had at this time are known; the epoch
+  /// if no read has reached the end of the partition yet.
+  [[nodiscard]] Instant provenAt() const noexcept { return ProvenAt; }
   /// @brief The newest value of a key.
   /// @return Nothing if the key is deleted or unknown.
   [[nodiscard]] std::optional<std::string> value(const std::string &Key) const {
@@ -61,6 +64,7 @@
       load(Yield);
       return;
     }
+    const auto Begin = DecisionClock::now();
     auto Result = Source.read(Yield, Followed, NextOffset, Wait);
     if (Result.Trimmed) {
       load(Yield);
@@ -70,6 +74,13 @@
       apply(Update);
     }
     NextOffset = std::max(NextOffset, Result.Next);
+    if (!Result.Records.empty() && Result.Next >= Result.End) {
+      ProvenAt = std::max(ProvenAt, Begin);
+    } else if (Result.Next >= Result.End) {
+      // The store has held the call for this long and had nothing to return.
+      ProvenAt =
+          std::max(ProvenAt, std::min(Begin + Wait, DecisionClock::now()));
+    }
     const bool Stuck = Result.Records.empty() && Result.End > NextOffset;
     if (Stuck || Result.End > NextOffset + Newest.size()) {
       load(Yield);
@@ -92,6 +103,7 @@
 private:
   /// @brief Reads the newest record of each key, page by page.
   void load(boost::asio::yield_context Yield) {
+    const auto Begin = DecisionClock::now();
     std::map<std::string, bool> Present;
     std::string AfterKey;
     std::uint64_t LoadEnd = 0;
@@ -109,6 +121,7 @@
     }
     deleteMissing(Present, LoadEnd);
     NextOffset = std::max(NextOffset, LoadEnd);
+    ProvenAt = std::max(ProvenAt, Begin);
     Loaded = true;
   }
 
@@ -135,6 +148,7 @@
   std::map<std::string, Record> Newest;
   std::uint64_t NextOffset = 0;
   std::uint64_t KnownEnd = 0;
+  Instant ProvenAt{};
   bool Loaded = false;
 };
 
--- /dev/null
+++ b/src/goldcrestnotch/store/view_freshness.hpp
@@ -0,0 +1,70 @@
+/// @file
+/// Decides whether a VM's copy of a partition is recent enough for decisions
+/// that can't be taken back, such as that a route does not exist.
+
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+#include "goldcrestnotch/core/instant.hpp"
+
+namespace goldcrestnotch::store {
+
+/// @brief How current a copy of a partition is. Does no I/O and reads no clock.
+///
+/// A proof is a read that reached the end of the partition, by this VM or by
+/// another one. While nobody has a newer proof, as in an outage of the store,
+/// an old copy is as good as that of any other VM. It is outdated only if
+/// another VM is known to have more.
+class ViewFreshness {
+public:
+  /// @param MaxAge How old the proof of a copy may be while another VM has
+  /// newer records.
+  explicit ViewFreshness(Millis MaxAge) noexcept : MaxAge{MaxAge} {}
+
+  /// @brief The age of the newest proof.
+  [[nodiscard]] Millis age(Instant Now) const noexcept {
+    return Now - ProvenAt;
+  }
+  /// @brief Whether another VM has records that this one misses.
+  [[nodiscard]] bool behind() const noexcept { return OthersEnd > OwnEnd; }
+  /// @brief Whether the copy is too old to decide by.
+  [[nodiscard]] bool outdated(Instant Now) const noexcept {
+    return behind() && age(Now) > MaxAge;
+  }
+
+  void update(Millis NewMaxAge) noexcept { MaxAge = NewMaxAge; }
+  /// @brief Records what this VM has.
+  /// @param When All records that the store had then are known.
+  /// @param End The newest known offset plus one.
+  void observeOwn(Instant When, std::uint64_t End) noexcept {
+    ProvenAt = std::max(ProvenAt, When);
+    OwnEnd = std::max(OwnEnd, End);
+    if (!behind()) {
+      ProvenAt = std::max(ProvenAt, OthersProvenAt);
+    }
+  }
+  /// @brief Records what another VM has.
+  /// @param When All records that the store had then are known to it.
+  /// @param End The newest offset that it knows plus one.
+  void observeOther(Instant When, std::uint64_t End) noexcept {
+    if (End >= OthersEnd) {
+      OthersEnd = End;
+      OthersProvenAt = std::max(OthersProvenAt, When);
+    }
+    if (End <= OwnEnd) {
+      ProvenAt = std::max(ProvenAt, When);
+    }
+  }
+
+private:
+  Millis MaxAge;
+  Instant ProvenAt{}; ///< All records of that time are known to this VM.
+  std::uint64_t OwnEnd = 0;
+  /// The greatest end that another VM has reported, and its proof.
+  std::uint64_t OthersEnd = 0;
+  Instant OthersProvenAt{};
+};
+
+} // namespace goldcrestnotch::store
--- a/standin/faulty_link.cpp
+++ b/standin/faulty_link.cpp
@@ -80,14 +80,16 @@
   std::array<char, 16'384> Buffer{};
   boost::system::error_code Error;
   while (!Error) {
-    const auto Count =
-        Source.async_read_some(asio::buffer(Buffer), Yield[Error]);
+    const auto Count = Source.async_read_some(
+        asio::buffer(Buffer.data(),
+                     CurrentMode == Mode::Narrow ? NarrowBytes : Buffer.size()),
+        Yield[Error]);
     while (Source.is_open() && (CurrentMode == Mode::Stalled ||
                                 (CurrentMode == Mode::OneWay && !Forward))) {
       Timer.expires_after(RecheckInterval);
       Timer.async_wait(Yield);
     }
-    if (CurrentMode == Mode::Slow) {
+    if (CurrentMode == Mode::Slow || CurrentMode == Mode::Narrow) {
       Timer.expires_after(std::chrono::milliseconds{SlowMs});
       Timer.async_wait(Yield);
     }
--- a/standin/faulty_link.hpp
+++ b/standin/faulty_link.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <set>
@@ -22,6 +23,7 @@
   enum class Mode : std::uint8_t {
     Pass,
     Slow,    ///< Each chunk is delayed by `SlowMs`.
+    Narrow,  ///< As `Slow`, with chunks of `NarrowBytes`.
     Stalled, ///< Connections stay open, but no data is forwarded.
     OneWay,  ///< No data is forwarded to the client.
     Refuse,  ///< New connections are reset.
@@ -29,6 +31,8 @@
 
   /// Delay of each chunk in `Mode::Slow`.
   static constexpr int SlowMs = 60;
+  /// Size of a chunk in `Mode::Narrow`: each connection gets 17 KB a second.
+  static constexpr std::size_t NarrowBytes = 1'024;
 
   FaultyLink(boost::asio::io_context &Context, std::uint16_t Target);
 
--- a/test/fuzz/decoders_test.cpp
+++ b/test/fuzz/decoders_test.cpp
@@ -12,6 +12,7 @@
 #include "goldcrestnotch/entry/chat_request.hpp"
 #include "goldcrestnotch/ledger/ledger_state.hpp"
 #include "goldcrestnotch/membership/membership_view.hpp"
+#include "goldcrestnotch/notices/message.hpp"
 #include "goldcrestnotch/peer/message.hpp"
 #include "goldcrestnotch/ratelimit/message.hpp"
 #include "goldcrestnotch/rollout/move_table.hpp"
@@ -147,6 +148,19 @@
   }
 }
 
+TEST(Fuzz, Notices) {
+  const notices::Message Inputs[] = {
+      notices::ViewRequest{7, 8, 9},
+      notices::ViewResponse{
+          7, {8, Millis{9}}, {10, Millis{11}}, {1, 2}, {3}, true}};
+  for (const auto &Input : Inputs) {
+    expectOnlyDecodeErrors(notices::encode(Input), [](const std::string &Text) {
+      const auto *Bytes = reinterpret_cast<const unsigned char *>(Text.data());
+      (void)notices::decodeMessage({Bytes, Text.size()});
+    });
+  }
+}
+
 TEST(Fuzz, LiveLists) {
   expectOnlyDecodeErrors(
       R"({"vms":[{"vm":"a","domain":"d","entry":"127.0.0.1:1",
--- /dev/null
+++ b/test/goldcrestnotch/notices/message_test.cpp
@@ -0,0 +1,55 @@
+/// @file
+/// Tests of the encoding of notices.
+
+#include "goldcrestnotch/notices/message.hpp"
+
+#include <gtest/gtest.h>
+
+namespace goldcrestnotch::notices {
+namespace {
+
+std::optional<Message> decoded(const std::string &Bytes) {
+  return decodeMessage(
+      {reinterpret_cast<const unsigned char *>(Bytes.data()), Bytes.size()});
+}
+
+TEST(NoticeMessage, RequestKeepsItsFields) {
+  const auto Result = decoded(encode(ViewRequest{7, 8, 9}));
+  ASSERT_TRUE(Result && std::holds_alternative<ViewRequest>(*Result));
+  const auto &Request = std::get<ViewRequest>(*Result);
+  EXPECT_EQ(Request.Nonce, 7U);
+  EXPECT_EQ(Request.OperatorEnd, 8U);
+  EXPECT_EQ(Request.TargetsEnd, 9U);
+}
+
+TEST(NoticeMessage, ResponseKeepsItsFields) {
+  const ViewResponse Source{7,   {8, Millis{9}}, {10, Millis{11}},
+                            {1}, {2, 3},         false};
+  const auto Result = decoded(encode(Source));
+  ASSERT_TRUE(Result && std::holds_alternative<ViewResponse>(*Result));
+  const auto &Response = std::get<ViewResponse>(*Result);
+  EXPECT_EQ(Response.Operator.End, 8U);
+  EXPECT_EQ(Response.Operator.ProofAge, Millis{9});
+  EXPECT_EQ(Response.Targets.ProofAge, Millis{11});
+  EXPECT_EQ(Response.Leaving, Source.Leaving);
+  EXPECT_EQ(Response.Deleted, Source.Deleted);
+  EXPECT_FALSE(Response.Complete);
+}
+
+TEST(NoticeMessage, LargestResponseFitsIntoAPacket) {
+  ViewResponse Source;
+  Source.Nonce = UINT64_MAX;
+  Source.Leaving.assign(MaxTargets, UINT64_MAX);
+  EXPECT_LE(encode(Source).size(), MaxMessageBytes);
+}
+
+TEST(NoticeMessage, MalformedBytesAreNoMessage) {
+  EXPECT_FALSE(decoded(""));
+  EXPECT_FALSE(decoded("\x9f\x9f\x9f"));
+  auto Bytes = encode(ViewRequest{7, 8, 9});
+  Bytes.pop_back();
+  EXPECT_FALSE(decoded(Bytes));
+}
+
+} // namespace
+} // namespace goldcrestnotch::notices
--- a/test/goldcrestnotch/store/keyed_feed_test.cpp
+++ b/test/goldcrestnotch/store/keyed_feed_test.cpp
@@ -3,6 +3,8 @@
 
 #include "goldcrestnotch/store/keyed_feed.hpp"
 
+#include <thread>
+
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
@@ -89,6 +91,25 @@
   EXPECT_EQ(Followed.Log.Loads, 1);
 }
 
+TEST(KeyedFeed, OnlyAReadToTheEndProvesThatNothingIsMissing) {
+  FollowedLog Followed;
+  for (const auto *Key : {"a", "b", "c", "d", "e", "f"}) {
+    Followed.Log.put(Key, "0");
+  }
+  EXPECT_EQ(Followed.Feed.provenAt(), Instant{});
+  Followed.poll();
+  const auto Loaded = Followed.Feed.provenAt();
+  EXPECT_GT(Loaded, Instant{});
+  for (const auto *Key : {"a", "b", "c", "d", "e", "f"}) {
+    Followed.Log.put(Key, "1");
+  }
+  std::this_thread::sleep_for(Millis{2});
+  Followed.poll(); // Four of six records.
+  EXPECT_EQ(Followed.Feed.provenAt(), Loaded);
+  Followed.poll();
+  EXPECT_GT(Followed.Feed.provenAt(), Loaded);
+}
+
 TEST(KeyedFeed, RecordTooLongForAReadIsLoaded) {
   FollowedLog Followed;
   Followed.Log.put("a", "0");
--- a/test/platform/fleet.hpp
+++ b/test/platform/fleet.hpp
@@ -72,6 +72,10 @@
           Context, Replicas.back()->port()));
       Replicas.back()->setAdvertisedPort(ReplicaLinks.back()->port());
     }
+    for (int I = 0; I < VmCount; ++I) {
+      VmStoreLinks.push_back(
+          std::make_unique<standin::FaultyLink>(Context, StoreLink.port()));
+    }
     for (int I = 0; I < 2; ++I) {
       Threads.emplace_back([this] { Context.run(); });
     }
@@ -96,8 +100,10 @@
   Fleet &operator=(const Fleet &) = delete;
 
   /// @brief Publishes a configuration with three routes and one workspace.
+  /// @param MoreRoutes Number of further routes `/more-NUMBER/`.
   void publish(int Version, std::int64_t PrepaidTokens,
-               const std::vector<std::string> &Keys = {"key-1"}) {
+               const std::vector<std::string> &Keys = {"key-1"},
+               int MoreRoutes = 0) {
     const auto Route = [](const char *Name, const char *Prefix,
                           const char *Kind, bool Resumable) {
       return json{
@@ -107,7 +113,7 @@
           {"public", false},   {"sticky", true},       {"resumable", Resumable},
           {"targetGapMs", 400}};
     };
-    const json Config{
+    json Config{
         {"version", Version},
         {"routes",
          {Route("chat", "/chat/", "streaming", true),
@@ -128,6 +134,11 @@
           {"idleTimeoutMs", 15'000}}},
         {"tenants",
          {{{"name", "stall"}, {"apiKeys", Keys}, {"prepaid", PrepaidTokens}}}}};
+    for (int I = 0; I < MoreRoutes; ++I) {
+      const auto Name = "more-" + std::to_string(I);
+      Config["routes"].push_back(Route(Name.c_str(), ("/" + Name + "/").c_str(),
+                                       "non_idempotent", false));
+    }
     Store.put("keyed.op", "config", Config.dump());
   }
   /// @brief Writes the registry record of a replica with a state.
@@ -145,6 +156,10 @@
   [[nodiscard]] standin::FaultyLink &replicaLink(int Number) {
     return *ReplicaLinks[static_cast<std::size_t>(Number)];
   }
+  /// @brief Returns the proxy between the daemon of a VM and the store.
+  [[nodiscard]] standin::FaultyLink &vmStoreLink(int Vm) {
+    return *VmStoreLinks[static_cast<std::size_t>(Vm)];
+  }
   [[nodiscard]] std::uint64_t runs() const {
     std::uint64_t Sum = 0;
     for (const auto &Replica : Replicas) {
@@ -245,9 +260,10 @@
            AddressAt(CallerPort) + "ready = " + AddressAt(ReadyPort) +
            "control = " + AddressAt(ControlPort) +
            "directory = " + AddressAt(DirectoryPort) +
-           "[bounds]\ngraceS = 4\ndrainMs = 2000\nttl_max_s = 1\n" +
-           "[platform]\naddress = \"127.0.0.1:" +
-           std::to_string(StoreLink.port()) + "\"\n";
+           "[bounds]\ngraceS = 4\ndrainMs = 2000\nconfigApplyMs = 2000\n" +
+           "ttl_max_s = 1\n" + "[platform]\naddress = \"127.0.0.1:" +
+           std::to_string(VmStoreLinks[static_cast<std::size_t>(Vm)]->port()) +
+           "\"\n";
   }
 
   [[nodiscard]] static http::Request makeRequest(const Call &Params) {
@@ -292,6 +308,8 @@
   std::vector<std::unique_ptr<UsersReplica>> Replicas;
   std::vector<std::unique_ptr<standin::FaultyLink>>
       ReplicaLinks; ///< One per replica.
+  /// One per VM; leads through `StoreLink`.
+  std::vector<std::unique_ptr<standin::FaultyLink>> VmStoreLinks;
   std::vector<std::unique_ptr<scenario::Process>> Daemons;
   std::vector<std::thread> Threads;
 };
