--- a/standin/users_replica.cpp
+++ b/standin/users_replica.cpp
@@ -49,15 +49,11 @@
 
 std::string UsersReplica::entry(const std::string &Service,
                                 const std::string &State) const {
-  return json{{"service", Service},
-              {"address", Address.str()},
-              {"zone", "zone-a"},
-              {"version", Version},
-              {"capacity", 8},
-              {"state", State},
-              {"coldLeftMs", 0},
-              {"sequence", 1},
-              {"born", 1'700'000'000'000}}
+  return json{{"service", Service},   {"address", Address.str()},
+              {"zone", "zone-a"},     {"version", Version},
+              {"capacity", 8},        {"state", State},
+              {"coldLeftMs", 0},      {"sequence", 1},
+              {"born", BornMs.load()}}
       .dump();
 }
 
@@ -116,6 +112,11 @@
     HttpExchange.reply(Reply);
     return;
   }
+  if (!CrashingPart.empty() &&
+      Request.field("X-Goldcrestnotch-Prompt-Prefix").find(CrashingPart) !=
+          std::string_view::npos) {
+    crash(HttpExchange, Reply);
+  }
   if (CurrentBehavior == Behavior::OversizedHead) {
     for (int I = 0; I < OversizedHeadFields; ++I) {
       Reply.Fields["X-Noise-" + std::to_string(I)] =
@@ -155,6 +156,16 @@
   }
 }
 
+void UsersReplica::crash(Exchange &HttpExchange, const Response &Head) {
+  HttpExchange.start(Head);
+  sleep(HttpExchange, Millis{10});
+  ++BornMs;
+  if (OnCrash) {
+    OnCrash(*this);
+  }
+  loseConnection();
+}
+
 void UsersReplica::stream(Exchange &HttpExchange, Response Head) {
   Head.Fields["Content-Type"] = "text/event-stream";
   const std::string LastEventId{HttpExchange.request().field("Last-Event-Id")};
--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -68,6 +69,11 @@
   /// Requests per second that the replica states in its responses; it states
   /// none if this is zero.
   std::atomic<double> RateLimit{0};
+  /// A prompt with this part crashes the replica when it begins to answer; must
+  /// be set before requests are sent.
+  std::string CrashingPart;
+  /// Called after a crash, which gives the replica a new start time.
+  std::function<void(UsersReplica &)> OnCrash;
   std::atomic<int> Events{5};
   std::atomic<int> EventDelayMs{1}; ///< Delay before each event.
 
@@ -76,6 +82,8 @@
   sendEndlessBody(goldcrestnotch::http::Exchange &HttpExchange,
                   const goldcrestnotch::http::Response &Head);
   void handle(goldcrestnotch::http::Exchange &HttpExchange);
+  [[noreturn]] void crash(goldcrestnotch::http::Exchange &HttpExchange,
+                          const goldcrestnotch::http::Response &Head);
   void stream(goldcrestnotch::http::Exchange &HttpExchange,
               goldcrestnotch::http::Response Head);
 
@@ -83,6 +91,7 @@
   goldcrestnotch::http::Endpoint Address;
   std::atomic<std::uint64_t> Runs{0};
   std::atomic<std::uint64_t> EndlessBytes{0};
+  std::atomic<std::uint64_t> BornMs{1'700'000'000'000};
   mutable std::mutex Mutex;
   goldcrestnotch::http::Headers LastHeaders; ///< Guarded by `Mutex`.
   std::map<std::string, int> RunsByAttempt;  ///< Guarded by `Mutex`.
--- a/test/platform/fleet.hpp
+++ b/test/platform/fleet.hpp
@@ -44,6 +44,7 @@
   std::string AttemptId = "a1";
   std::string TokenUsage; ///< `INPUT,MAX-OUTPUT` for streams, else empty.
   std::string DeadlineMs = "5000";
+  std::string PromptParts; ///< `ID:TOKENS` separated by commas, or empty.
 };
 
 /// @brief Result of a request; status zero if no response head arrived.
@@ -278,6 +279,9 @@
     if (!Params.TokenUsage.empty()) {
       Request.Fields["X-Goldcrestnotch-Token-Usage"] = Params.TokenUsage;
     }
+    if (!Params.PromptParts.empty()) {
+      Request.Fields["X-Goldcrestnotch-Prompt-Prefix"] = Params.PromptParts;
+    }
     return Request;
   }
 
