Prompt parts that crash their targets are quarantined by all VMs together

Cause: a lost response was evidence about its target only. Requests with the same prompt part were accepted by every VM and even sent to a second target.

Now a VM whose response breaks off within 300 ms of its head tells all others by datagram which shared parts the prompt has. Two crashed targets under a part end repeats, three end new requests with it: 503 at once. One answered prompt with a part clears it everywhere, so parts that sound requests share stay in use, and a prompt with only some of the parts that always crashed together is tried. The member records carry the quarantine to VMs that start later. A part may be tried again after five minutes, and twice as long after each relapse.

--- a/src/goldcrestnotch/notices/message.cpp
+++ b/src/goldcrestnotch/notices/message.cpp
@@ -14,7 +14,12 @@
 
 namespace internal {
 
-enum class Kind : std::uint64_t { ViewRequest = 1, ViewResponse = 2 };
+enum class Kind : std::uint64_t {
+  ViewRequest = 1,
+  ViewResponse = 2,
+  Crash = 3,
+  Clearance = 4
+};
 
 /// A stated age is bounded, so that differences of times can't overflow.
 static constexpr std::uint64_t MaxAgeMs = 3'600'000;
@@ -36,6 +41,27 @@
           Source.Complete};
 }
 
+/// @brief The hashes of parts, as many as fit into a message.
+[[nodiscard]] static json
+toJson(const std::vector<quarantine::PromptPart> &Parts) {
+  json Result = json::array();
+  for (const auto &Part : Parts) {
+    if (Result.size() < MaxParts) {
+      Result.push_back(Part.Hash);
+    }
+  }
+  return Result;
+}
+
+[[nodiscard]] static json toJson(const CrashNotice &Source) {
+  return {Kind::Crash, Source.Ended.NameHash, Source.Ended.Incarnation,
+          toJson(Source.Parts)};
+}
+
+[[nodiscard]] static json toJson(const ClearanceNotice &Source) {
+  return {Kind::Clearance, toJson(Source.Parts)};
+}
+
 /// @throws json::exception if the value is no unsigned integer.
 [[nodiscard]] static std::uint64_t unsignedOf(const json &Value) {
   return Value.get_ref<const json::number_unsigned_t &>();
@@ -54,6 +80,15 @@
   return Result;
 }
 
+[[nodiscard]] static std::vector<quarantine::PromptPart>
+partsOf(const json &Value) {
+  std::vector<quarantine::PromptPart> Result;
+  for (const auto Hash : hashesOf(Value)) {
+    Result.push_back({Hash});
+  }
+  return Result;
+}
+
 } // namespace internal
 
 std::string encode(const Message &Source) {
@@ -77,6 +112,12 @@
                           internal::hashesOf(Document.at(4)),
                           internal::hashesOf(Document.at(5)),
                           Document.at(6).get<bool>()};
+    case internal::Kind::Crash:
+      return CrashNotice{{internal::unsignedOf(Document.at(1)),
+                          internal::unsignedOf(Document.at(2))},
+                         internal::partsOf(Document.at(3))};
+    case internal::Kind::Clearance:
+      return ClearanceNotice{internal::partsOf(Document.at(1))};
     }
   } catch (const json::exception &) {
     return std::nullopt; // The caller counts what it can't read.
--- a/src/goldcrestnotch/notices/message.hpp
+++ b/src/goldcrestnotch/notices/message.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "goldcrestnotch/core/instant.hpp"
+#include "goldcrestnotch/quarantine/prompt_part.hpp"
 
 namespace goldcrestnotch::notices {
 
@@ -19,6 +20,8 @@
 inline constexpr std::size_t MaxMessageBytes = 1'200;
 /// Maximum number of targets in one message.
 inline constexpr std::size_t MaxTargets = 64;
+/// Maximum number of prompt parts in one message.
+inline constexpr std::size_t MaxParts = 64;
 
 /// @brief Asks another VM how current its copies of two partitions are.
 struct ViewRequest {
@@ -45,7 +48,19 @@
   bool Complete = true; ///< The lists above contain all such targets.
 };
 
-using Message = std::variant<ViewRequest, ViewResponse>;
+/// @brief Says that the response to a prompt broke off at its beginning.
+struct CrashNotice {
+  quarantine::TargetRun Ended;
+  std::vector<quarantine::PromptPart> Parts; ///< Shared parts of the prompt.
+};
+
+/// @brief Says that a prompt with these parts was answered.
+struct ClearanceNotice {
+  std::vector<quarantine::PromptPart> Parts;
+};
+
+using Message =
+    std::variant<ViewRequest, ViewResponse, CrashNotice, ClearanceNotice>;
 
 /// @brief Encodes a message.
 [[nodiscard]] std::string encode(const Message &Source);
--- a/src/goldcrestnotch/notices/notice_socket.cpp
+++ b/src/goldcrestnotch/notices/notice_socket.cpp
@@ -15,6 +15,12 @@
 namespace asio = boost::asio;
 using asio::ip::udp;
 
+namespace internal {
+
+static constexpr int BroadcastRepeats = 2;
+
+} // namespace internal
+
 NoticeSocket::NoticeSocket(asio::io_context &Loop, const http::Endpoint &Listen,
                            Metrics &Counters)
     : Socket{Loop, udp::endpoint{asio::ip::make_address(Listen.Address),
@@ -50,6 +56,28 @@
   }
 }
 
+void NoticeSocket::sendToAll(const Message &Content) {
+  const auto Bytes = encode(Content);
+  for (const auto &Peer : Peers) {
+    boost::system::error_code Ignored; // As in `send`.
+    Socket.send_to(asio::buffer(Bytes), Peer, 0, Ignored);
+  }
+}
+
+void NoticeSocket::broadcast(const Message &Content) {
+  sendToAll(Content);
+  Recent.push_back({Content, internal::BroadcastRepeats});
+}
+
+void NoticeSocket::repeatBroadcasts() {
+  for (auto &Entry : Recent) {
+    sendToAll(Entry.Content);
+    --Entry.RepeatsLeft;
+  }
+  std::erase_if(Recent,
+                [](const Broadcast &Entry) { return Entry.RepeatsLeft <= 0; });
+}
+
 void NoticeSocket::receive() {
   Socket.async_receive_from(
       asio::buffer(Incoming), Sender,
--- a/src/goldcrestnotch/notices/notice_socket.hpp
+++ b/src/goldcrestnotch/notices/notice_socket.hpp
@@ -46,7 +46,19 @@
   void sendToSome(const Message &Content, std::size_t Count,
                   const std::function<double()> &Draw);
 
+  /// @brief Sends a message to all other VMs, and again with the next calls of
+  /// `repeatBroadcasts`.
+  void broadcast(const Message &Content);
+  /// @brief Sends recent broadcasts once more, in case datagrams were lost.
+  void repeatBroadcasts();
+
 private:
+  struct Broadcast {
+    Message Content;
+    int RepeatsLeft = 0;
+  };
+
+  void sendToAll(const Message &Content);
   void receive();
 
   boost::asio::ip::udp::socket Socket;
@@ -54,6 +66,7 @@
   Metrics &Counters;
   Handler OnMessage;
   std::vector<Endpoint> Peers;
+  std::vector<Broadcast> Recent;
   std::array<unsigned char, MaxMessageBytes> Incoming{};
   Endpoint Sender;
 };
--- /dev/null
+++ b/src/goldcrestnotch/notices/shared_quarantine.cpp
@@ -0,0 +1,90 @@
+/// @file
+/// Reports about prompt parts, from this VM and from others.
+
+#include "goldcrestnotch/notices/shared_quarantine.hpp"
+
+#include <string>
+
+#include "goldcrestnotch/core/hash.hpp"
+#include "goldcrestnotch/telemetry/log.hpp"
+
+namespace goldcrestnotch::notices {
+
+namespace internal {
+
+/// A broadcast is repeated within this time.
+static constexpr Millis RepeatTime{10'000};
+
+/// @brief Formats hashes for a log line.
+[[nodiscard]] static std::string toText(const SharedQuarantine::Parts &Shared) {
+  std::string Result;
+  for (const auto &Part : Shared) {
+    Result += (Result.empty() ? "" : ",") + std::to_string(Part.Hash);
+  }
+  return Result;
+}
+
+} // namespace internal
+
+void SharedQuarantine::reportCrash(Instant Now,
+                                   const backend::Registration &Target,
+                                   const Parts &Shared) {
+  if (Shared.empty()) {
+    return;
+  }
+  const CrashNotice Notice{{hashOf(Target.Name.str()), Target.Incarnation},
+                           Shared};
+  log(LogLevel::Warn, "prompt.broke_off",
+      {{"target", Target.Name.str()}, {"parts", internal::toText(Shared)}});
+  observeCrash(Now, Notice, "target");
+  Socket.broadcast(Notice);
+}
+
+void SharedQuarantine::observeCrash(Instant Now, const CrashNotice &Notice,
+                                    const char *Source) {
+  const auto Quarantined =
+      Quarantine.observeCrash(Now, Notice.Ended, Notice.Parts);
+  if (!Quarantined.empty()) {
+    Counters.count("prompt_parts_quarantined_total", Quarantined.size());
+    log(LogLevel::Warn, "prompt.quarantined",
+        {{"parts", internal::toText(Quarantined)},
+         {"source", std::string{Source}}});
+  }
+}
+
+void SharedQuarantine::reportAnswer(Instant Now, const Parts &Shared) {
+  const auto Cleared = Quarantine.observeAnswer(Now, Shared);
+  if (!Cleared.empty()) {
+    log(LogLevel::Info, "prompt.cleared",
+        {{"parts", internal::toText(Cleared)}});
+    Socket.broadcast(ClearanceNotice{Cleared});
+  }
+}
+
+void SharedQuarantine::handle(Instant Now, const CrashNotice &Notice) {
+  const auto [It, New] =
+      Taken.emplace(hashOf(encode(Notice)), Now + internal::RepeatTime);
+  if (New) {
+    observeCrash(Now, Notice, "vm");
+  }
+}
+
+void SharedQuarantine::handle(Instant Now, const ClearanceNotice &Notice) {
+  (void)Quarantine.observeAnswer(Now, Notice.Parts);
+}
+
+void SharedQuarantine::adopt(
+    Instant Now, const std::vector<quarantine::QuarantinedPart> &Reported) {
+  for (const auto &Entry : Reported) {
+    Quarantine.adopt(Now, Entry);
+  }
+}
+
+void SharedQuarantine::maintain(Instant Now) {
+  Quarantine.expire(Now);
+  std::erase_if(Taken, [&](const auto &Entry) { return Now >= Entry.second; });
+  Counters.set("prompt_parts_quarantined",
+               static_cast<double>(Quarantine.quarantined(Now).size()));
+}
+
+} // namespace goldcrestnotch::notices
--- a/src/goldcrestnotch/proxy/attempt_plan.hpp
+++ b/src/goldcrestnotch/proxy/attempt_plan.hpp
@@ -17,6 +17,7 @@
   Completed,        ///< The caller has the complete response.
   Unreachable,      ///< No connection; no byte of the request was sent.
   TargetLeft,       ///< It left before the request was sent.
+  PromptRefused,    ///< Its prompt was quarantined before it was sent.
   NotExecuted,      ///< The target states that it did not execute the request.
   WrongTarget,      ///< Another target answered and did not execute it.
   Failed,           ///< The target executed it and reports a server error.
@@ -73,6 +74,11 @@
       return NextStep::AbortResponse;
     }
     return State.MayHaveRun ? NextStep::ReportTimeout : NextStep::Reject;
+  case AttemptResult::PromptRefused:
+    if (State.ResponseBegun) {
+      return NextStep::AbortResponse;
+    }
+    return State.MayHaveRun ? NextStep::ReportUnknown : NextStep::Reject;
   case AttemptResult::Unreachable:
   case AttemptResult::TargetLeft:
   case AttemptResult::NotExecuted:
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -59,6 +59,12 @@
 static constexpr std::uint64_t MinEventsForGap = 4;
 /// Events after which a stream counts as evidence about its target's version.
 static constexpr std::uint64_t EventsForEvidence = 8;
+/// A response that breaks off within this time after its head may have crashed
+/// its target.
+static constexpr Millis EarlyBreak{300};
+/// A target that is still running this long after it began to respond has not
+/// been crashed by the prompt.
+static constexpr Millis SoundAnswer{500};
 /// Largest response that is buffered; a longer one counts as lost. A VM has
 /// 160 MB of memory for all requests.
 static constexpr std::size_t MaxBodyBytes = 4U << 20U;
@@ -135,6 +141,12 @@
     Deadline = std::min(Deadline, Caller.arrival() + *Remaining -
                                       internal::ResponseMargin);
   }
+  if (promptRefused()) {
+    reject(503, "prompt_quarantined",
+           Context.Quarantine.deadline(Prompt->SharedParts) -
+               DecisionClock::now());
+    return false;
+  }
   if (!Context.Delay.canMeet(DecisionClock::now(), Deadline,
                              internal::MinWork)) {
     Caller.disableKeepAlive(); // The caller may then connect to another VM.
@@ -212,7 +224,8 @@
     recordResult(*Target, LastResult);
     State.ResponseBegun = Caller.started();
     State.RetryAllowed =
-        Context.RetryBudget.allows(DecisionClock::now(), Service);
+        Context.RetryBudget.allows(DecisionClock::now(), Service) &&
+        !(LastResult == AttemptResult::ResponseLost && promptSuspect());
     Step = nextStep(State, LastResult);
     if (Step == NextStep::Retry && State.Sent > 0) {
       Context.RetryBudget.observeRetry(DecisionClock::now(), Service);
@@ -326,6 +339,10 @@
     Cause = "target_left";
     return AttemptResult::TargetLeft;
   }
+  if (promptRefused()) {
+    Cause = "prompt_quarantined";
+    return AttemptResult::PromptRefused;
+  }
   const auto *ChosenService = Table->service(Service);
   Upstream Remote{
       Connection, buildRequest(Target->Registered, DecisionClock::now()),
@@ -345,6 +362,7 @@
   AttemptSent = DecisionClock::now();
   TimeToFirstByte = Millis{0};
   EvidenceRecorded = false;
+  AnswerRecorded = false;
   Remote.send(Deadline);
   const auto Result = receiveResponse(Remote);
   Caller.unwatch();
@@ -363,7 +381,8 @@
     return DecisionClock::now() >= Deadline ? AttemptResult::DeadlineExceeded
                                             : AttemptResult::ResponseLost;
   }
-  TimeToFirstByte = DecisionClock::now() - AttemptSent;
+  HeadReceived = DecisionClock::now();
+  TimeToFirstByte = HeadReceived - AttemptSent;
   recordRateLimit(Remote);
   const auto &Fields = Remote.fields();
   const bool NotExecuted =
@@ -441,6 +460,9 @@
     EventsForwarded += Batch.Count;
     if (Batch.Count > 0) {
       recordEventTimes();
+      if (LastEventTime - HeadReceived >= internal::SoundAnswer) {
+        recordSoundAnswer();
+      }
     }
     if (!EvidenceRecorded && State.Sent == 1 &&
         EventsForwarded >= internal::EventsForEvidence) {
@@ -463,6 +485,7 @@
       Caller.write(Yield, Batch.Bytes, Deadline);
     }
     if (!ReadOk) {
+      recordBreak(Remote);
       Cause = "stream_broken";
       return DecisionClock::now() >= Deadline ? AttemptResult::DeadlineExceeded
                                               : AttemptResult::ResponseLost;
@@ -476,11 +499,39 @@
     ResponseStatus = Status;
     Caller.start(Yield, Status, Fields, Deadline);
   }
+  recordSoundAnswer();
   Remote.release(Context.Connections);
   Caller.finish(Yield, Deadline);
   return AttemptResult::Completed;
 }
 
+bool Exchange::promptRefused() const {
+  return Prompt &&
+         Context.Quarantine.judge(DecisionClock::now(), Prompt->SharedParts) ==
+             quarantine::Verdict::Refused;
+}
+
+bool Exchange::promptSuspect() const {
+  return Prompt &&
+         Context.Quarantine.judge(DecisionClock::now(), Prompt->SharedParts) !=
+             quarantine::Verdict::Sound;
+}
+
+void Exchange::recordBreak(Upstream &Remote) {
+  const auto Now = DecisionClock::now();
+  if (Prompt && Remote.brokenOff() && !Caller.gone() &&
+      Now - HeadReceived < internal::EarlyBreak) {
+    Context.Quarantine.reportCrash(Now, Remote.target().Registered,
+                                   Prompt->SharedParts);
+  }
+}
+
+void Exchange::recordSoundAnswer() {
+  if (Prompt && !std::exchange(AnswerRecorded, true)) {
+    Context.Quarantine.reportAnswer(DecisionClock::now(), Prompt->SharedParts);
+  }
+}
+
 void Exchange::recordEventTimes() {
   const auto Now = DecisionClock::now();
   if (FirstEventTime == Instant{}) {
@@ -552,6 +603,7 @@
     Target.PausedUntil = Now + internal::MinBackoff;
     break;
   case AttemptResult::TargetLeft:
+  case AttemptResult::PromptRefused:
   case AttemptResult::DeadlineExceeded:
   case AttemptResult::CallerGone:
     break;
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -86,6 +86,16 @@
               std::optional<Millis> RetryAfter = std::nullopt);
   /// @brief Records the time of a read that completed events with an id.
   void recordEventTimes();
+  /// @brief Whether requests with this prompt are refused.
+  [[nodiscard]] bool promptRefused() const;
+  /// @brief Whether the request must not be sent again, since the lost response
+  /// may be due to its prompt.
+  [[nodiscard]] bool promptSuspect() const;
+  /// @brief Records that a response broke off, if that was at its beginning.
+  void recordBreak(Upstream &Remote);
+  /// @brief Records that the target is still running a while after it began to
+  /// respond.
+  void recordSoundAnswer();
   /// @brief Replaces the reservation by the tokens that were spent.
   void settle();
   /// @brief Counts and logs the result of the request.
@@ -111,6 +121,8 @@
   EventFramer Framer;
   std::uint64_t EventsForwarded = 0; ///< Events with an id.
   Instant AttemptSent{};             ///< When the last attempt was sent.
+  Instant HeadReceived{};      ///< When the response to it began to arrive.
+  bool AnswerRecorded = false; ///< The response counts for its prompt.
   /// From `AttemptSent` to the response head; for streams, to the first event.
   Millis TimeToFirstByte{0};
   Instant FirstEventTime{}; ///< The epoch if no event has been received.
--- a/src/goldcrestnotch/proxy/header_names.hpp
+++ b/src/goldcrestnotch/proxy/header_names.hpp
@@ -16,6 +16,7 @@
 
 #include "goldcrestnotch/core/instant.hpp"
 #include "goldcrestnotch/core/tokens.hpp"
+#include "goldcrestnotch/quarantine/prompt_part.hpp"
 
 namespace goldcrestnotch::proxy {
 
@@ -25,6 +26,8 @@
   Tokens MaxOutput;
   std::string SharedPrefix; ///< Id of the last prompt part that others share.
   Tokens SharedInput;       ///< Input tokens up to the end of that part.
+  /// All parts but the last, which belongs to the request or its session.
+  std::vector<quarantine::PromptPart> SharedParts;
 };
 
 /// @brief Header names of a deployment.
--- a/src/goldcrestnotch/proxy/proxy_context.hpp
+++ b/src/goldcrestnotch/proxy/proxy_context.hpp
@@ -14,6 +14,7 @@
 #include "goldcrestnotch/backend/retry_budget.hpp"
 #include "goldcrestnotch/backend/target_set.hpp"
 #include "goldcrestnotch/escrow/admission_gate.hpp"
+#include "goldcrestnotch/notices/shared_quarantine.hpp"
 #include "goldcrestnotch/proxy/header_names.hpp"
 #include "goldcrestnotch/proxy/loop_delay.hpp"
 #include "goldcrestnotch/proxy/target_connection.hpp"
@@ -33,6 +34,7 @@
   ConnectionPool &Connections;
   escrow::AdmissionGate &Budgets;
   ratelimit::Permits &Permits;
+  notices::SharedQuarantine &Quarantine;
   Metrics &Measured;
   /// Null until the first configuration has been received.
   std::shared_ptr<const routing::RouteTable> Table;
--- a/src/goldcrestnotch/proxy/upstream.cpp
+++ b/src/goldcrestnotch/proxy/upstream.cpp
@@ -96,7 +96,12 @@
   wire::async_read_some(Connection->Socket, Connection->Buffer, *Response,
                         Yield[Failure]);
   Body.append(ReadBuffer, 0, ReadBuffer.size() - Response->get().body().size);
-  return !Failure || Failure == wire::error::need_buffer;
+  if (!Failure || Failure == wire::error::need_buffer) {
+    return true;
+  }
+  BrokenOff = Failure != boost::beast::error::timeout &&
+              Failure != asio::error::operation_aborted;
+  return false;
 }
 
 bool Upstream::readAll(std::string &Body, std::size_t MaxBytes) {
--- a/src/goldcrestnotch/proxy/upstream.hpp
+++ b/src/goldcrestnotch/proxy/upstream.hpp
@@ -54,6 +54,9 @@
   [[nodiscard]] int status() const {
     return static_cast<int>(Response->get().result_int());
   }
+  /// @brief Whether the connection failed while the response was read, and did
+  /// not just reach a deadline.
+  [[nodiscard]] bool brokenOff() const noexcept { return BrokenOff; }
   /// @brief Whether the whole response has been read.
   [[nodiscard]] bool complete() const { return Response->is_done(); }
 
@@ -95,6 +98,7 @@
   std::shared_ptr<PendingRequest> Pending;
   std::optional<Parser> Response;
   std::string ReadBuffer;
+  bool BrokenOff = false;
   bool Released = false;
 };
 
--- /dev/null
+++ b/src/goldcrestnotch/quarantine/fwd.hpp
@@ -0,0 +1,12 @@
+/// @file
+/// Forward declarations of the quarantine module.
+
+#pragma once
+
+namespace goldcrestnotch::quarantine {
+
+struct PromptPart;
+struct TargetRun;
+class PartQuarantine;
+
+} // namespace goldcrestnotch::quarantine
--- /dev/null
+++ b/src/goldcrestnotch/quarantine/part_quarantine.hpp
@@ -0,0 +1,102 @@
+/// @file
+/// Decides which requests are refused because a part of their prompt crashes
+/// the targets that answer it.
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <vector>
+
+#include "goldcrestnotch/core/instant.hpp"
+#include "goldcrestnotch/quarantine/prompt_part.hpp"
+
+namespace goldcrestnotch::quarantine {
+
+/// @brief What may be done with a request, by the parts of its prompt.
+enum class Verdict : std::uint8_t {
+  Sound,   ///< Nothing is held against its parts.
+  Suspect, ///< It may be sent, but not again after a lost response.
+  Refused, ///< It would crash a target.
+};
+
+/// @brief A part whose requests are refused.
+struct QuarantinedPart {
+  PromptPart Part;
+  Instant Deadline{}; ///< Until when its requests are refused.
+};
+
+/// @brief The parts of prompts under which responses broke off at their
+/// beginning, by what all VMs have seen. Does no I/O and reads no clock.
+///
+/// A part that crashes its targets crashes each one, so a single sound answer
+/// clears all parts of its prompt. Parts that always occur together can't be
+/// told apart by crashes alone: a request that contains only some of them is
+/// let through, since it shows which one it is.
+class PartQuarantine {
+public:
+  /// Runs of targets that must have ended under a part before requests with it
+  /// aren't repeated, and before they are refused.
+  static constexpr std::size_t SuspectCrashes = 2;
+  static constexpr std::size_t RefusedCrashes = 3;
+  /// Time for which requests with a part are refused; it doubles with each
+  /// relapse, up to a maximum. Each trial afterwards may cost a target and all
+  /// of its streams.
+  static constexpr Millis MinRefusal{300'000};
+  static constexpr Millis MaxRefusal{3'600'000};
+  /// Suspicions are forgotten after this time without a crash.
+  static constexpr Millis SuspicionTime{120'000};
+  /// For this long after a part was cleared, older reports of other VMs that it
+  /// is quarantined are ignored.
+  static constexpr Millis ClearanceTime{30'000};
+
+  /// @brief Judges a request by the shared parts of its prompt.
+  [[nodiscard]] Verdict judge(Instant Now,
+                              std::span<const PromptPart> Parts) const;
+  /// @brief Until when requests with one of the parts are refused; the epoch if
+  /// they aren't.
+  [[nodiscard]] Instant deadline(std::span<const PromptPart> Parts) const;
+  /// @brief The quarantined parts, for VMs that start later.
+  [[nodiscard]] std::vector<QuarantinedPart> quarantined(Instant Now) const;
+
+  /// @brief Records that a response broke off at its beginning.
+  /// @return The parts that are quarantined because of it.
+  std::vector<PromptPart> observeCrash(Instant Now, TargetRun Ended,
+                                       std::span<const PromptPart> Parts);
+  /// @brief Records that a target has answered a prompt and is still running.
+  /// @return The parts that were under suspicion and are cleared.
+  std::vector<PromptPart> observeAnswer(Instant Now,
+                                        std::span<const PromptPart> Parts);
+  /// @brief Takes a report of another VM that a part is quarantined, unless
+  /// something is known of that part here.
+  void adopt(Instant Now, const QuarantinedPart &Reported);
+  /// @brief Forgets what is too old to matter.
+  void expire(Instant Now);
+
+private:
+  /// @brief What is held against a part.
+  struct Suspicion {
+    std::set<TargetRun> Crashes; ///< At most `MaxCrashesKept`.
+    Instant LastCrash{};
+    Instant Deadline{}; ///< Its requests are refused until then.
+    int Relapses = 0;
+    /// Reported by another VM, whose crashes are not known here.
+    bool Adopted = false;
+  };
+
+  static constexpr std::size_t MaxCrashesKept = 8;
+
+  [[nodiscard]] bool refuses(Instant Now, PromptPart Part,
+                             std::span<const PromptPart> Parts) const;
+  /// @brief Whether a part that the request doesn't contain accounts for all
+  /// crashes of a part that it contains.
+  [[nodiscard]] bool explainedByOther(Instant Now, const Suspicion &Suspected,
+                                      std::span<const PromptPart> Parts) const;
+
+  std::map<PromptPart, Suspicion> Suspicions;
+  std::map<PromptPart, Instant> ClearedUntil;
+};
+
+} // namespace goldcrestnotch::quarantine
--- a/src/goldcrestnotch/roster/member_record.cpp
+++ b/src/goldcrestnotch/roster/member_record.cpp
@@ -18,10 +18,17 @@
                       goldcrestnotch::internal::countsJson(Evidence.Old),
                       goldcrestnotch::internal::countsJson(Evidence.New)};
   }
-  const json Document{{"b", Source.Incarnation},   {"n", Source.Sequence},
-                      {"e", Source.CallerAddress}, {"c", Source.ControlAddress},
-                      {"p", Source.CpuShare},      {"l", Source.Leaving},
-                      {"m", std::move(Moves)}};
+  json Quarantined = json::array();
+  for (const auto &Part : Source.Quarantined) {
+    Quarantined.push_back({Part.Hash, Part.RemainingMs});
+  }
+  json Document{{"b", Source.Incarnation},   {"n", Source.Sequence},
+                {"e", Source.CallerAddress}, {"c", Source.ControlAddress},
+                {"p", Source.CpuShare},      {"l", Source.Leaving},
+                {"m", std::move(Moves)}};
+  if (!Quarantined.empty()) {
+    Document["q"] = std::move(Quarantined);
+  }
   const auto Bytes = json::to_cbor(Document);
   return {Bytes.begin(), Bytes.end()};
 }
@@ -42,6 +49,12 @@
           goldcrestnotch::internal::countsOf(Evidence.at(1)),
           goldcrestnotch::internal::countsOf(Evidence.at(2))};
     }
+    if (const auto It = Document.find("q"); It != Document.end()) {
+      for (const auto &Part : *It) {
+        Result.Quarantined.push_back(
+            {Part.at(0).get<std::uint64_t>(), Part.at(1).get<std::int64_t>()});
+      }
+    }
     return Result;
   } catch (const json::exception &) {
     return std::nullopt; // The caller logs the key of the record.
--- a/src/goldcrestnotch/roster/member_record.hpp
+++ b/src/goldcrestnotch/roster/member_record.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "goldcrestnotch/core/id.hpp"
 #include "goldcrestnotch/rollout/record.hpp"
@@ -29,6 +30,14 @@
 /// Move evidence by the name of the service that moves.
 using MoveEvidenceByService = std::map<std::string, MoveEvidence>;
 
+/// @brief A part of prompts that a VM keeps in quarantine.
+struct QuarantinedPart {
+  std::uint64_t Hash = 0;
+  std::int64_t RemainingMs = 0; ///< At the time of the record.
+
+  auto operator<=>(const QuarantinedPart &) const = default;
+};
+
 /// @brief The newest record of a VM; its key is the VM's address.
 struct MemberRecord {
   std::string Incarnation;    ///< Random id of the process, drawn at its start.
@@ -38,6 +47,8 @@
   std::uint32_t CpuShare = 0; ///< Processor share in hundredths of a core.
   bool Leaving = false;       ///< The VM accepts no new callers.
   MoveEvidenceByService Moves;
+  /// For VMs that start later; the others learn it from notices.
+  std::vector<QuarantinedPart> Quarantined;
 
   auto operator<=>(const MemberRecord &) const = default;
 };
--- a/src/goldcrestnotch/roster/roster.hpp
+++ b/src/goldcrestnotch/roster/roster.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "goldcrestnotch/core/instant.hpp"
+#include "goldcrestnotch/quarantine/part_quarantine.hpp"
 #include "goldcrestnotch/roster/member_record.hpp"
 
 namespace goldcrestnotch::roster {
@@ -127,6 +128,19 @@
     return Sum;
   }
 
+  /// @brief The prompt parts that a VM keeps in quarantine, with the time at
+  /// which that ends.
+  [[nodiscard]] std::vector<quarantine::QuarantinedPart> quarantined() const {
+    std::vector<quarantine::QuarantinedPart> Result;
+    for (const auto &[Vm, Entry] : Members) {
+      for (const auto &Part : Entry.Record.Quarantined) {
+        Result.push_back(
+            {{Part.Hash}, Entry.Observed + Millis{Part.RemainingMs}});
+      }
+    }
+    return Result;
+  }
+
   /// @brief Changes the silence timeout for records observed from now on.
   void setSilenceTimeout(Millis Timeout) noexcept { SilenceTimeout = Timeout; }
   /// @brief Takes a record that was read. Only a record of another process or
--- a/src/goldcrestnotch/roster/roster_sync.hpp
+++ b/src/goldcrestnotch/roster/roster_sync.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "goldcrestnotch/roster/roster.hpp"
 #include "goldcrestnotch/store/keyed_feed.hpp"
@@ -58,6 +59,10 @@
   void setMoveEvidence(MoveEvidenceByService Evidence) {
     Self.Moves = std::move(Evidence);
   }
+  /// @brief Sets the quarantined prompt parts to publish with the next record.
+  void setQuarantined(std::vector<QuarantinedPart> Parts) {
+    Self.Quarantined = std::move(Parts);
+  }
   /// @brief Announces with the next step that this VM accepts no new callers.
   void startLeaving() noexcept {
     Self.Leaving = true;
--- a/test/fuzz/decoders_test.cpp
+++ b/test/fuzz/decoders_test.cpp
@@ -152,7 +152,9 @@
   const notices::Message Inputs[] = {
       notices::ViewRequest{7, 8, 9},
       notices::ViewResponse{
-          7, {8, Millis{9}}, {10, Millis{11}}, {1, 2}, {3}, true}};
+          7, {8, Millis{9}}, {10, Millis{11}}, {1, 2}, {3}, true},
+      notices::CrashNotice{{7, 8}, {{9}, {10}}},
+      notices::ClearanceNotice{{{9}}}};
   for (const auto &Input : Inputs) {
     expectOnlyDecodeErrors(notices::encode(Input), [](const std::string &Text) {
       const auto *Bytes = reinterpret_cast<const unsigned char *>(Text.data());
--- a/test/goldcrestnotch/notices/message_test.cpp
+++ b/test/goldcrestnotch/notices/message_test.cpp
@@ -36,11 +36,30 @@
   EXPECT_FALSE(Response.Complete);
 }
 
-TEST(NoticeMessage, LargestResponseFitsIntoAPacket) {
+TEST(NoticeMessage, CrashKeepsItsFields) {
+  const auto Result = decoded(encode(CrashNotice{{7, 8}, {{9}, {10}}}));
+  ASSERT_TRUE(Result && std::holds_alternative<CrashNotice>(*Result));
+  const auto &Notice = std::get<CrashNotice>(*Result);
+  EXPECT_EQ(Notice.Ended, (quarantine::TargetRun{7, 8}));
+  EXPECT_EQ(Notice.Parts, (std::vector<quarantine::PromptPart>{{9}, {10}}));
+}
+
+TEST(NoticeMessage, ClearanceKeepsItsParts) {
+  const auto Result = decoded(encode(ClearanceNotice{{{9}}}));
+  ASSERT_TRUE(Result && std::holds_alternative<ClearanceNotice>(*Result));
+  EXPECT_EQ(std::get<ClearanceNotice>(*Result).Parts.size(), 1U);
+}
+
+TEST(NoticeMessage, LargestMessagesFitIntoAPacket) {
   ViewResponse Source;
   Source.Nonce = UINT64_MAX;
   Source.Leaving.assign(MaxTargets, UINT64_MAX);
   EXPECT_LE(encode(Source).size(), MaxMessageBytes);
+  const CrashNotice Crash{
+      {UINT64_MAX, UINT64_MAX},
+      std::vector<quarantine::PromptPart>(MaxParts + 1,
+                                          quarantine::PromptPart{UINT64_MAX})};
+  EXPECT_LE(encode(Crash).size(), MaxMessageBytes);
 }
 
 TEST(NoticeMessage, MalformedBytesAreNoMessage) {
