A stream that broke off is continued by events only

What callers saw, as another operator reports it and two tests show: a stream had begun and broke off, the next target answered with an error, and the caller found its head and body in the middle of the stream; or the next target answered 200 without events, and the stream ended as if it were complete.

Cause: what follows a begun stream was not checked. A response with another status than 2xx, or another content type than the caller was told, now counts as lost, so the request is tried again or the stream visibly breaks off.

Platform.ErrorAfterATornStreamDoesNotReachTheCaller and EmptyAnswerAfterATornStreamDoesNotCompleteIt failed before.

--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -406,6 +406,11 @@
   }
   return forwardBuffered(Remote);
 }
+  if (Caller.started() && Remote.status() / 100 != 5 &&
+      !continuesStream(Remote)) {
+    Cause = "resume_failed";
+    return AttemptResult::ResponseLost;
+  }
 
 void Exchange::recordRateLimit(Upstream &Remote) {
   const auto &Fields = Remote.fields();
@@ -413,6 +418,11 @@
       RequestRate::parse(view(Fields[Context.Headers.RateLimit]));
   // Another target that answers at the address says nothing about this one, nor
   // does a response without a signature.
+bool Exchange::continuesStream(Upstream &Remote) const {
+  return Remote.status() / 100 == 2 &&
+         view(Remote.fields()[wire::field::content_type]) == StreamContentType;
+}
+
   const bool FromTarget =
       Stated ? Remote.status() != 421
              : !Fields[Context.Headers.TargetSignature].empty();
@@ -486,6 +496,8 @@
     }
     if (!ReadOk) {
       recordBreak(Remote);
+        StreamContentType =
+            std::string{view(Fields[wire::field::content_type])};
       Cause = "stream_broken";
       return DecisionClock::now() >= Deadline ? AttemptResult::DeadlineExceeded
                                               : AttemptResult::ResponseLost;
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -49,6 +49,9 @@
   attempt(const std::shared_ptr<backend::Target> &Target);
   /// @brief Receives and forwards the response to an attempt.
   [[nodiscard]] AttemptResult receiveResponse(Upstream &Remote);
+  /// @brief Whether a response can follow the part of a stream that the caller
+  /// already has.
+  [[nodiscard]] bool continuesStream(Upstream &Remote) const;
   /// @brief Forwards a stream of events as they arrive.
   [[nodiscard]] AttemptResult relayStream(Upstream &Remote);
   /// @brief Forwards a response after all of it has been received.
@@ -118,6 +121,7 @@
   Tokens ReservedTokens; ///< Zero if nothing is reserved.
   std::int64_t TokensPerEvent = 1;
   Instant Deadline{}; ///< When the caller must have the whole response.
+  std::string StreamContentType; ///< As stated to the caller.
   EventFramer Framer;
   std::uint64_t EventsForwarded = 0; ///< Events with an id.
   Instant AttemptSent{};             ///< When the last attempt was sent.
--- a/standin/users_replica.cpp
+++ b/standin/users_replica.cpp
@@ -132,6 +132,22 @@
     Reply.Fields[AttemptHeader] = "another-request";
     sendEndlessBody(HttpExchange, Reply);
   }
+  if (CurrentBehavior == Behavior::ClientError) {
+    Reply.Status = 404;
+    Reply.Body = "no such thing\n\n";
+    HttpExchange.reply(Reply);
+    return;
+  }
+  if (CurrentBehavior == Behavior::EmptyBody) {
+    HttpExchange.reply(Reply);
+    return;
+  }
+  if (CurrentBehavior == Behavior::RepeatedRefusal && Received++ % 2 == 1) {
+    Response Refusal;
+    Refusal.Status = 503;
+    Refusal.Fields["X-Goldcrestnotch-Not-Executed"] = "1";
+    HttpExchange.reply(Refusal);
+  }
   if (CurrentBehavior == Behavior::StaleReply) {
     Response StaleReply = Reply;
     StaleReply.Fields[AttemptHeader] = "another-request";
--- a/test/platform/fleet.hpp
+++ b/test/platform/fleet.hpp
@@ -6,6 +6,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,6 +17,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/spawn.hpp>
 #include <nlohmann/json.hpp>
 
@@ -198,6 +200,21 @@
   [[nodiscard]] CallResult call(const Call &Params, int Vm = 0) {
     return send(makeRequest(Params), {address(Vm), CallerPort});
   }
+  /// @brief Sends a request and returns all bytes of the response as they were
+  /// on the connection.
+  [[nodiscard]] std::string callRaw(const Call &Params, int Vm = 0) {
+    const auto Request = makeRequest(Params);
+    boost::asio::ip::tcp::iostream Connection{address(Vm),
+                                              std::to_string(CallerPort)};
+    Connection << Request.Method << ' ' << Request.Path << " HTTP/1.1\r\n";
+    for (const auto &[Name, Value] : Request.Fields) {
+      Connection << Name << ": " << Value << "\r\n";
+    }
+    Connection << "Content-Length: 0\r\nConnection: close\r\n\r\n"
+               << std::flush;
+    return {std::istreambuf_iterator<char>{Connection},
+            std::istreambuf_iterator<char>{}};
+  }
   /// @brief Sends a request and closes the connection after a timeout.
   void callAndDisconnect(const Call &Params, int TimeoutMillis, int Vm = 0) {
     (void)send(makeRequest(Params), {address(Vm), CallerPort}, TimeoutMillis);
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -169,6 +169,36 @@
   EXPECT_FALSE(TestFleet.call(Chat).Complete);
 }
 
+/// @brief Lets streams break off at one replica and go on at another one that
+/// responds with something else than events.
+void expectTornStreamStaysTorn(UsersReplica::Behavior Behavior) {
+  Fleet TestFleet;
+  ASSERT_TRUE(TestFleet.waitUntilReady());
+  TestFleet.replica(0).CurrentBehavior =
+      UsersReplica::Behavior::TruncatingStream;
+  TestFleet.replica(1).CurrentBehavior = Behavior;
+  int Torn = 0;
+  for (int I = 0; I < 8; ++I) {
+    const auto Bytes = TestFleet.callRaw(withNumber(Chat, I));
+    if (Bytes.find("data: e2") == std::string::npos) {
+      continue; // The other replica was the first.
+    }
+    ++Torn;
+    EXPECT_EQ(Bytes.rfind("HTTP/1.1"), 0U);
+    EXPECT_EQ(Bytes.find("no such thing"), std::string::npos);
+    EXPECT_FALSE(Bytes.ends_with("0\r\n\r\n")) << "It looks complete.";
+  }
+  EXPECT_GT(Torn, 0);
+}
+
+TEST(Platform, ErrorAfterATornStreamDoesNotReachTheCaller) {
+  expectTornStreamStaysTorn(UsersReplica::Behavior::ClientError);
+}
+
+TEST(Platform, EmptyAnswerAfterATornStreamDoesNotCompleteIt) {
+  expectTornStreamStaysTorn(UsersReplica::Behavior::EmptyBody);
+}
+
 TEST(Platform, AnswerToAnotherRequestIsPassedOver) {
   Fleet TestFleet{1};
   ASSERT_TRUE(TestFleet.waitUntilReady());
