A response without a request's id is never taken for that of a later request

Another operator reports that a faulty target wrote an earlier refusal once more on a kept connection: callers were told that nothing had run while it ran, or it ran at a second target as well. The test with a target that does so failed: 3 of 12 orders were answered 503 and ran, 5 ran twice.

Cause: the first response on a connection was accepted without an id. A response without an id is now skipped like one with another id if the connection has carried requests before, and counts as lost if it has not.

--- a/src/goldcrestnotch/proxy/target_connection.hpp
+++ b/src/goldcrestnotch/proxy/target_connection.hpp
@@ -42,6 +42,7 @@
 
   TcpStream Socket;
   boost::beast::flat_buffer Buffer;
+  bool Used = false;       ///< It has carried a request before.
   Instant ReuseDeadline{}; ///< The target may close it after this time.
 };
 
--- a/src/goldcrestnotch/proxy/upstream.cpp
+++ b/src/goldcrestnotch/proxy/upstream.cpp
@@ -76,9 +76,14 @@
       return false;
     }
     const auto EchoedId = Response->get()[HeaderName];
-    if (view(EchoedId) == AttemptId || (EchoedId.empty() && Stale == 0)) {
+    if (view(EchoedId) == AttemptId) {
       return true;
     }
+    // A response without an id may belong to an earlier request. If there was
+    // none, the target does not name its requests, and no better one follows.
+    if (EchoedId.empty() && !Connection->Used) {
+      return false;
+    }
     std::string Discarded;
     if (!readAll(Discarded, MaxDiscardedBytes) || !Response->keep_alive()) {
       return false;
@@ -124,6 +129,7 @@
     Connection->Socket.close();
     return;
   }
+  Connection->Used = true;
   Connection->ReuseDeadline =
       DecisionClock::now() + internal::reuseTime(fields());
   Pool.release(Target->Registered, Connection, MaxConnections);
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -199,6 +199,18 @@
   expectTornStreamStaysTorn(UsersReplica::Behavior::EmptyBody);
 }
 
+TEST(Platform, RefusalThatComesAgainIsNotTakenForAnAnswer) {
+  Fleet TestFleet;
+  ASSERT_TRUE(TestFleet.waitUntilReady());
+  TestFleet.replica(0).CurrentBehavior = TestFleet.replica(1).CurrentBehavior =
+      UsersReplica::Behavior::RepeatedRefusal;
+  for (int I = 0; I < 12; ++I) {
+    const auto Request = withNumber(Order, I);
+    EXPECT_NE(TestFleet.call(Request).Status, 503);
+    EXPECT_EQ(TestFleet.runsOf(Request.AttemptId), 1);
+  }
+}
+
 TEST(Platform, AnswerToAnotherRequestIsPassedOver) {
   Fleet TestFleet{1};
   ASSERT_TRUE(TestFleet.waitUntilReady());
