A malformed record or an unexpected error does not end the process

Another operator reports VMs that ended again and again over one odd entry among those of the targets: deeply nested, with a number too large, or a port out of range. Entries of that kind did no harm here (13 of them in a test that passed before the change, but for requests that tried their addresses), yet the status record of a move with a field of another type ended the VM (test, failed before: no answer after the first such record).

--- a/src/goldcrestnotch/http/server.cpp
+++ b/src/goldcrestnotch/http/server.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http.hpp>
 
 #include "goldcrestnotch/core/error.hpp"
+#include "goldcrestnotch/telemetry/log.hpp"
 
 namespace goldcrestnotch::http {
 
@@ -228,6 +229,9 @@
       }
     } catch (const boost::system::system_error &) {
       // The connection has failed, so no response can be sent.
+    } catch (const std::exception &Failure) {
+      log(LogLevel::Error, "connection.failed",
+          {{"cause", std::string{Failure.what()}}});
     }
     markBusy(Socket);
     boost::system::error_code Ignored;
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -97,6 +97,12 @@
     Cause = "caller_lost";
     settle();
     Caller.abort();
+  } catch (const std::exception &Failure) {
+    log(LogLevel::Error, "request.failed",
+        {{"cause", std::string{Failure.what()}}});
+    Cause = "internal_error";
+    settle();
+    Caller.abort();
   }
   logResult();
 }
@@ -400,17 +406,22 @@
     Cause = "answer_without_receipt";
     return AttemptResult::ResponseLost;
   }
+  if (Caller.started() && Remote.status() / 100 != 5 &&
+      !continuesStream(Remote)) {
+    Cause = "resume_failed";
+    return AttemptResult::ResponseLost;
+  }
   if (MatchedRoute->Retry == routing::RetryClass::Stream &&
       Remote.status() / 100 == 2) {
     return relayStream(Remote);
   }
   return forwardBuffered(Remote);
 }
-  if (Caller.started() && Remote.status() / 100 != 5 &&
-      !continuesStream(Remote)) {
-    Cause = "resume_failed";
-    return AttemptResult::ResponseLost;
-  }
+
+bool Exchange::continuesStream(Upstream &Remote) const {
+  return Remote.status() / 100 == 2 &&
+         view(Remote.fields()[wire::field::content_type]) == StreamContentType;
+}
 
 void Exchange::recordRateLimit(Upstream &Remote) {
   const auto &Fields = Remote.fields();
@@ -418,11 +429,6 @@
       RequestRate::parse(view(Fields[Context.Headers.RateLimit]));
   // Another target that answers at the address says nothing about this one, nor
   // does a response without a signature.
-bool Exchange::continuesStream(Upstream &Remote) const {
-  return Remote.status() / 100 == 2 &&
-         view(Remote.fields()[wire::field::content_type]) == StreamContentType;
-}
-
   const bool FromTarget =
       Stated ? Remote.status() != 421
              : !Fields[Context.Headers.TargetSignature].empty();
@@ -490,14 +496,14 @@
     if (!Batch.Bytes.empty()) {
       if (!Caller.started()) {
         ResponseStatus = Status;
+        StreamContentType =
+            std::string{view(Fields[wire::field::content_type])};
         Caller.start(Yield, Status, Fields, Deadline);
       }
       Caller.write(Yield, Batch.Bytes, Deadline);
     }
     if (!ReadOk) {
       recordBreak(Remote);
-        StreamContentType =
-            std::string{view(Fields[wire::field::content_type])};
       Cause = "stream_broken";
       return DecisionClock::now() >= Deadline ? AttemptResult::DeadlineExceeded
                                               : AttemptResult::ResponseLost;
--- a/src/goldcrestnotch/proxy/listener.cpp
+++ b/src/goldcrestnotch/proxy/listener.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include "goldcrestnotch/proxy/exchange.hpp"
+#include "goldcrestnotch/telemetry/log.hpp"
 #include "goldcrestnotch/telemetry/request_log.hpp"
 
 namespace goldcrestnotch::proxy {
@@ -135,6 +136,9 @@
     }
   } catch (const boost::system::system_error &) {
     Context.Measured.count("caller_connections_lost_total");
+  } catch (const std::exception &Failure) {
+    log(LogLevel::Error, "connection.failed",
+        {{"cause", std::string{Failure.what()}}});
   }
   boost::system::error_code Ignored; // The socket may be closed already.
   Caller->stream().socket().shutdown(tcp::socket::shutdown_send, Ignored);
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -389,6 +389,56 @@
             std::string::npos);
 }
 
+TEST(Platform, OddRegistrationStopsNeitherTheVmNorItsReading) {
+  Fleet TestFleet;
+  ASSERT_TRUE(TestFleet.waitUntilReady());
+  const auto With = [&](const std::string &Fields) {
+    const auto Entry = TestFleet.replica(0).entry("engines", "ready");
+    return Entry.substr(0, Entry.size() - 1) + "," + Fields + "}"; // Overrides.
+  };
+  const std::string Entries[] = {
+      std::string(200'000, '['),
+      std::string(100'000, '[') + std::string(100'000, ']'),
+      With("\"models\":" + std::string(60'000, '[') + std::string(60'000, ']')),
+      With(R"("capacity":1e999)"),
+      With(R"("capacity":99999999999999999999999999)"),
+      With(R"("capacity":-7)"),
+      With(R"("born":1e300)"),
+      With(R"("born":-1)"),
+      With(R"("born":{"a":[1]})"),
+      With(R"("address":"127.0.0.1:70000")"),
+      With(R"("address":"127.0.0.1:0")"),
+      With(R"("address":"127.0.0.1:-1")"),
+      With(R"("address":"nowhere:80")")};
+  int Number = 0;
+  for (const auto &Entry : Entries) {
+    TestFleet.Store.put("keyed.servers", "odd-" + std::to_string(Number++),
+                        Entry);
+  }
+  TestFleet.registerReplica(TestFleet.replica(0), "draining");
+  std::this_thread::sleep_for(std::chrono::milliseconds{1'000});
+  for (int I = 0; I < 20; ++I) {
+    const auto Result = TestFleet.call(withNumber(Order, I));
+    EXPECT_EQ(Result.Status, 200);
+    EXPECT_EQ(Result.Body, "done by i-1");
+  }
+  EXPECT_EQ(TestFleet.daemon().output().find("\"unreachable\":1"),
+            std::string::npos);
+}
+
+TEST(Platform, OddStatusOfAMoveDoesNotEndTheVm) {
+  Fleet TestFleet;
+  ASSERT_TRUE(TestFleet.waitUntilReady());
+  TestFleet.Store.put("keyed.op", "rollout/engines",
+                      R"({"service":"engines","target":"v2","durationS":30})");
+  for (const auto *Status : {R"({"state":7,"target":"v2"})",
+                             R"({"state":"running","target":{"a":1}})", "[1"}) {
+    TestFleet.Store.put("keyed.status", "rollout/engines", Status);
+    std::this_thread::sleep_for(std::chrono::milliseconds{400});
+    EXPECT_EQ(TestFleet.call(Order).Status, 200);
+  }
+}
+
 TEST(Platform, ConfigurationNeverGoesBack) {
   Fleet TestFleet;
   ASSERT_TRUE(TestFleet.waitUntilReady());
