A target that says it leaves gets nothing more from any VM

What callers saw, by the users' new rule: requests reached a target after it had said in an answer that it leaves (header Server-Leaving), since only the store's records were read.

What the registry says later does not undo it, nor does a registration that vanishes and comes back; a new incarnation does. Streams that run there go on.

--- a/src/goldcrestnotch/backend/target.hpp
+++ b/src/goldcrestnotch/backend/target.hpp
@@ -49,8 +49,8 @@
   Instant PausedUntil{}; ///< Other targets are preferred until then.
   Instant FullUntil{};   ///< It refused a request for lack of capacity; other
                          ///< targets are preferred until then.
-  /// Another VM says that it leaves. Stays set until another incarnation, even
-  /// if a record from before arrives later.
+  /// The target or another VM says that it leaves. Stays set until another
+  /// incarnation, even if a record from before arrives later.
   bool ToldLeaving = false;
   PromptKind ReservedFor = PromptKind::Any;
   /// Requests that the target takes from all VMs together, as it stated last;
--- a/src/goldcrestnotch/backend/target_set.cpp
+++ b/src/goldcrestnotch/backend/target_set.cpp
@@ -38,6 +38,9 @@
 /// Cost of a target that is reserved for prompts of another length.
 static constexpr double ReservedCost = 250;
 
+/// A target that leaves has ended after this time.
+static constexpr Millis LeavingMemory{600'000};
+
 /// Shorter prompts say little about the prefill speed of an engine.
 static constexpr std::int64_t MinSampleTokens = 4'000;
 /// Weight of one sample in the moving average of the prefill speed.
@@ -206,6 +209,8 @@
   Entry = std::make_shared<Target>();
   NamesByHash[hashOf(Update.Name.str())] = Update.Name;
   Entry->Registered = std::move(Update);
+  Entry->ToldLeaving = LeavingRuns.contains(
+      {hashOf(Entry->Registered.Name.str()), Entry->Registered.Incarnation});
   auto &List = TargetsByService[Entry->Registered.Service];
   List.push_back(Entry);
   assignPromptKinds(List);
@@ -236,6 +241,14 @@
       Now + (Outage ? Timeouts.DuringOutage : Timeouts.Normal);
 }
 
+bool TargetSet::markLeaving(Instant Now, std::uint64_t NameHash,
+                            std::uint64_t Incarnation) {
+  LeavingRuns[{NameHash, Incarnation}] = Now + internal::LeavingMemory;
+  const auto Known = find(NameHash);
+  return Known && Known->Registered.Incarnation == Incarnation &&
+         !std::exchange(Known->ToldLeaving, true);
+}
+
 void TargetSet::observePrompt(Instant Now, const TargetId &Name,
                               std::int64_t PromptTokens) {
   const auto Receiver = find(Name);
@@ -266,6 +279,8 @@
 }
 
 void TargetSet::expire(Instant Now) {
+  std::erase_if(LeavingRuns,
+                [&](const auto &Entry) { return Now >= Entry.second; });
   std::erase_if(Targets, [&](const auto &Entry) {
     if (Now < Entry.second->RemovalDeadline) {
       return false;
--- a/src/goldcrestnotch/backend/target_set.hpp
+++ b/src/goldcrestnotch/backend/target_set.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "goldcrestnotch/backend/target.hpp"
@@ -99,6 +100,12 @@
   /// timeout.
   /// @param Outage Whether the registry was recently down or unreachable.
   void markMissing(Instant Now, const TargetId &Name, bool Outage);
+  /// @brief Records that a run of a target accepts no new requests, whatever
+  /// the registry says of it.
+  /// @param NameHash `hashOf` the target's name.
+  /// @return Whether that was not known of a target that is known.
+  bool markLeaving(Instant Now, std::uint64_t NameHash,
+                   std::uint64_t Incarnation);
   /// @brief Replaces the timeouts.
   void update(RemovalTimeouts NewTimeouts) { Timeouts = NewTimeouts; }
   /// @brief Records that this VM or another one sent a prompt to a target.
@@ -144,6 +151,9 @@
   PrefillSettings Prefill;
   std::map<TargetId, std::shared_ptr<Target>> Targets;
   std::map<std::uint64_t, TargetId> NamesByHash;
+  /// Runs that are known to leave, by hash of the name and incarnation, and how
+  /// long they are remembered: a registration may vanish and come back.
+  std::map<std::pair<std::uint64_t, std::uint64_t>, Instant> LeavingRuns;
   /// The target that registered last at each address.
   std::map<http::Endpoint, TargetId> NamesByEndpoint;
   std::map<ServiceId, TargetList> TargetsByService;
--- a/src/goldcrestnotch/notices/message.cpp
+++ b/src/goldcrestnotch/notices/message.cpp
@@ -18,7 +18,8 @@
   ViewRequest = 1,
   ViewResponse = 2,
   Crash = 3,
-  Clearance = 4
+  Clearance = 4,
+  Leaving = 5
 };
 
 /// A stated age is bounded, so that differences of times can't overflow.
@@ -62,6 +63,10 @@
   return {Kind::Clearance, toJson(Source.Parts)};
 }
 
+[[nodiscard]] static json toJson(const LeavingNotice &Source) {
+  return {Kind::Leaving, Source.Run.NameHash, Source.Run.Incarnation};
+}
+
 /// @throws json::exception if the value is no unsigned integer.
 [[nodiscard]] static std::uint64_t unsignedOf(const json &Value) {
   return Value.get_ref<const json::number_unsigned_t &>();
@@ -118,6 +123,9 @@
                          internal::partsOf(Document.at(3))};
     case internal::Kind::Clearance:
       return ClearanceNotice{internal::partsOf(Document.at(1))};
+    case internal::Kind::Leaving:
+      return LeavingNotice{{internal::unsignedOf(Document.at(1)),
+                            internal::unsignedOf(Document.at(2))}};
     }
   } catch (const json::exception &) {
     return std::nullopt; // The caller counts what it can't read.
--- a/src/goldcrestnotch/notices/message.hpp
+++ b/src/goldcrestnotch/notices/message.hpp
@@ -59,8 +59,13 @@
   std::vector<quarantine::PromptPart> Parts;
 };
 
-using Message =
-    std::variant<ViewRequest, ViewResponse, CrashNotice, ClearanceNotice>;
+/// @brief Says that a target has stated that it leaves.
+struct LeavingNotice {
+  quarantine::TargetRun Run;
+};
+
+using Message = std::variant<ViewRequest, ViewResponse, CrashNotice,
+                             ClearanceNotice, LeavingNotice>;
 
 /// @brief Encodes a message.
 [[nodiscard]] std::string encode(const Message &Source);
--- a/src/goldcrestnotch/notices/view_exchange.cpp
+++ b/src/goldcrestnotch/notices/view_exchange.cpp
@@ -118,10 +118,12 @@
   Operator.observeOther(Sent - Response.Operator.ProofAge,
                         Response.Operator.End);
   for (const auto Hash : Response.Leaving) {
-    if (const auto Target = Targets.find(Hash); Target && !Target->leaving()) {
-      Target->ToldLeaving = true;
+    const auto Target = Targets.find(Hash);
+    if (Target &&
+        Targets.markLeaving(Now, Hash, Target->Registered.Incarnation)) {
       log(LogLevel::Info, "target.told_leaving",
           {{"target", Target->Registered.Name.str()},
+           {"source", "view"},
            {"own_age_ms", TargetList.age(Now).count()}});
     }
   }
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http.hpp>
 
 #include "goldcrestnotch/core/error.hpp"
+#include "goldcrestnotch/core/hash.hpp"
 #include "goldcrestnotch/escrow/retry_after.hpp"
 #include "goldcrestnotch/proxy/upstream.hpp"
 #include "goldcrestnotch/proxy/wire_text.hpp"
@@ -390,6 +391,7 @@
   HeadReceived = DecisionClock::now();
   TimeToFirstByte = HeadReceived - AttemptSent;
   recordRateLimit(Remote);
+  recordTargetState(Remote);
   const auto &Fields = Remote.fields();
   const bool NotExecuted =
       Fields.find(Context.Headers.NotExecuted) != Fields.end();
@@ -437,6 +439,24 @@
   }
 }
 
+void Exchange::recordTargetState(Upstream &Remote) {
+  // Status 421 comes from another target at the address.
+  if (Remote.status() == 421 ||
+      Remote.fields()[Context.Headers.Leaving].empty()) {
+    return;
+  }
+  const auto &Registered = Remote.target().Registered;
+  if (Context.Targets.markLeaving(DecisionClock::now(),
+                                  hashOf(Registered.Name.str()),
+                                  Registered.Incarnation)) {
+    log(LogLevel::Info, "target.told_leaving",
+        {{"target", Registered.Name.str()}, {"source", "target"}});
+    if (Context.AnnounceLeaving) {
+      Context.AnnounceLeaving(Registered);
+    }
+  }
+}
+
 AttemptResult Exchange::forwardBuffered(Upstream &Remote) {
   std::string Body;
   if (!Remote.readAll(Body, internal::MaxBodyBytes)) {
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -75,6 +75,8 @@
   /// @brief Records the rate limit that the head of a response states, or that
   /// it states none.
   void recordRateLimit(Upstream &Remote);
+  /// @brief Takes what the head of a response states about its target.
+  void recordTargetState(Upstream &Remote);
   /// @brief Mean time between the events of the response; zero if unknown.
   [[nodiscard]] Millis meanEventGap() const;
   /// @brief Records what the attempt says about the version of its target, if
--- a/src/goldcrestnotch/proxy/header_names.hpp
+++ b/src/goldcrestnotch/proxy/header_names.hpp
@@ -41,6 +41,8 @@
   std::string TargetSignature; ///< Proves that the target sent the response.
   std::string RateLimit;       ///< Requests per second that a target takes
                                ///< from all VMs together.
+  std::string Leaving;         ///< Set by a target that accepts no new
+                               ///< requests.
   std::string Workspace;       ///< Workspace of the key that the caller used.
   std::string Priority;        ///< Order among an engine's requests, 0 first.
   std::string LastEventId;     ///< Id of the last event that was received.
--- a/src/goldcrestnotch/proxy/proxy_context.hpp
+++ b/src/goldcrestnotch/proxy/proxy_context.hpp
@@ -48,6 +48,8 @@
   /// Tells other VMs that a target gets a prompt of this many input tokens; may
   /// be empty.
   std::function<void(const TargetId &, std::int64_t)> AnnouncePrompt;
+  /// Tells other VMs that a target has stated that it leaves; may be empty.
+  std::function<void(const backend::Registration &)> AnnounceLeaving;
   /// Returns how long the store has not answered; zero if it is reachable.
   std::function<Millis()> StoreOutage;
   /// Returns whether what this VM knows is too old to decide by.
--- a/standin/users_replica.cpp
+++ b/standin/users_replica.cpp
@@ -68,6 +68,12 @@
   return Arrivals.most(Window, Since);
 }
 
+std::size_t UsersReplica::arrivals(goldcrestnotch::Instant From,
+                                   goldcrestnotch::Instant To) const {
+  const std::lock_guard Lock{Mutex};
+  return Arrivals.count(From, To);
+}
+
 int UsersReplica::runsOf(const std::string &AttemptId) const {
   const std::lock_guard Lock{Mutex};
   const auto It = RunsByAttempt.find(AttemptId);
@@ -82,6 +88,9 @@
   if (const double Stated = RateLimit; Stated > 0) {
     Reply.Fields[RateLimitHeader] = std::to_string(Stated);
   }
+  if (Leaving) {
+    Reply.Fields["Server-Leaving"] = "1";
+  }
   {
     const std::lock_guard Lock{Mutex};
     Arrivals.add(DecisionClock::now());
@@ -91,7 +100,10 @@
     HttpExchange.reply(Reply);
     return;
   }
-  if (CurrentBehavior == Behavior::Full) {
+  if (const double Seconds = RetryAfterS; Seconds > 0) {
+    Reply.Fields["Retry-After"] = std::to_string(Seconds);
+  }
+  if (CurrentBehavior == Behavior::Full || RetryAfterS > 0) {
     Reply.Status = 503;
     Reply.Fields["X-Goldcrestnotch-Not-Executed"] = "1";
     HttpExchange.reply(Reply);
--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -55,6 +55,8 @@
   /// @brief Sets the port to register in place of the listening port, such as
   /// that of a proxy in front.
   void setAdvertisedPort(std::uint16_t Port) { Address.Port = Port; }
+  /// @brief Gives the replica a new start time, as after a restart.
+  void restart() { ++BornMs; }
   /// @brief Returns how often the request of an attempt was executed.
   [[nodiscard]] int runsOf(const std::string &AttemptId) const;
   /// @brief Returns the bytes of endless bodies written to callers so far.
@@ -63,6 +65,10 @@
   }
   /// @brief Returns the number of executed requests.
   [[nodiscard]] std::uint64_t runs() const noexcept { return Runs; }
+  /// @brief Returns the number of requests, executed or not, that arrived in a
+  /// half-open interval.
+  [[nodiscard]] std::size_t arrivals(goldcrestnotch::Instant From,
+                                     goldcrestnotch::Instant To) const;
   /// @brief Returns the largest number of requests, executed or not, that
   /// arrived within a window after an instant.
   [[nodiscard]] std::size_t mostArrivals(goldcrestnotch::Millis Window,
@@ -74,6 +80,11 @@
   /// Requests per second that the replica states in its responses; it states
   /// none if this is zero.
   std::atomic<double> RateLimit{0};
+  /// Whether the replica says in all its responses that it leaves.
+  std::atomic<bool> Leaving{false};
+  /// Seconds for which the replica asks for no requests; while it is not zero,
+  /// all requests are refused with 503.
+  std::atomic<double> RetryAfterS{0};
   /// A prompt with this part crashes the replica when it begins to answer; must
   /// be set before requests are sent.
   std::string CrashingPart;
