A target that asks for time gets no requests until then

What callers saw, by the users' new rule: a target that refused with 503 and Retry-After got further requests from the same VM; it was only preferred less for 100 ms.

Requests go to other targets, or are refused at once with the time of the first return. The check is made when a target is chosen and again before the first byte is sent.

--- a/src/goldcrestnotch/backend/target.hpp
+++ b/src/goldcrestnotch/backend/target.hpp
@@ -52,6 +52,8 @@
   /// The target or another VM says that it leaves. Stays set until another
   /// incarnation, even if a record from before arrives later.
   bool ToldLeaving = false;
+  /// It asked this VM for no requests until then.
+  Instant NoRequestsUntil{};
   PromptKind ReservedFor = PromptKind::Any;
   /// Requests that the target takes from all VMs together, as it stated last;
   /// nothing while it states none.
@@ -62,6 +64,10 @@
   /// Requests that this VM has sent to it since it began to state a limit.
   std::uint64_t SentWhileLimited = 0;
 
+  /// @brief Whether this VM may send it a request now.
+  [[nodiscard]] bool accepts(Instant Now) const noexcept {
+    return !leaving() && Now >= NoRequestsUntil;
+  }
   /// @brief Whether it accepts no new requests.
   [[nodiscard]] bool leaving() const noexcept {
     return Registered.Leaving || ToldLeaving;
--- a/src/goldcrestnotch/backend/target_set.cpp
+++ b/src/goldcrestnotch/backend/target_set.cpp
@@ -68,9 +68,25 @@
   return Result;
 }
 
-bool TargetSet::eligible(const Target &Candidate,
+std::optional<Instant> TargetSet::firstReturn(Instant Now,
+                                              const ServiceId &Service) const {
+  std::optional<Instant> Result;
+  const auto List = TargetsByService.find(Service);
+  if (List == TargetsByService.end()) {
+    return Result;
+  }
+  for (const auto &Candidate : List->second) {
+    if (!Candidate->leaving() && Now < Candidate->NoRequestsUntil) {
+      Result =
+          std::min(Result.value_or(Instant::max()), Candidate->NoRequestsUntil);
+    }
+  }
+  return Result;
+}
+
+bool TargetSet::eligible(Instant Now, const Target &Candidate,
                          const TargetRequest &Request) {
-  return !Candidate.leaving() &&
+  return Candidate.accepts(Now) &&
          Request.Version.allows(Candidate.Registered.Version) &&
          std::find(Request.Excluded.begin(), Request.Excluded.end(),
                    Candidate.Registered.Name) == Request.Excluded.end();
@@ -108,7 +124,7 @@
   TargetList Result;
   std::copy_if(List.begin(), List.end(), std::back_inserter(Result),
                [&](const std::shared_ptr<Target> &Candidate) {
-                 return eligible(*Candidate, Request);
+                 return eligible(Now, *Candidate, Request);
                });
   const auto Count = static_cast<std::size_t>(std::ceil(
       static_cast<double>(Result.size()) * Request.Version.TargetShare));
@@ -139,7 +155,7 @@
   const auto Share =
       OnTrial ? shareOf(Now, List->second, Request) : TargetList{};
   for (const auto &Candidate : OnTrial ? Share : List->second) {
-    if (!eligible(*Candidate, Request)) {
+    if (!eligible(Now, *Candidate, Request)) {
       continue;
     }
     const double Cost = cost(Now, *Candidate, Request);
--- a/src/goldcrestnotch/backend/target_set.hpp
+++ b/src/goldcrestnotch/backend/target_set.hpp
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -92,6 +93,12 @@
   [[nodiscard]] std::shared_ptr<Target>
   pick(Instant Now, const TargetRequest &Request) const;
 
+  /// @brief When the first target of a service that asked this VM for no
+  /// requests may get one again.
+  /// @return Nothing if none of them has asked.
+  [[nodiscard]] std::optional<Instant>
+  firstReturn(Instant Now, const ServiceId &Service) const;
+
   /// @brief Inserts or updates a registration. Another target that was last
   /// registered at the same address with no newer incarnation has ended, and is
   /// removed at once.
@@ -129,7 +136,7 @@
   /// registration, unless its incarnation is newer.
   void removePredecessor(const Registration &Update);
   /// @brief Whether a target may get a request at all.
-  [[nodiscard]] static bool eligible(const Target &Candidate,
+  [[nodiscard]] static bool eligible(Instant Now, const Target &Candidate,
                                      const TargetRequest &Request);
   /// @brief The eligible targets of a list, limited to the share of them that
   /// the request asks for.
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -14,6 +14,7 @@
 #include "goldcrestnotch/core/error.hpp"
 #include "goldcrestnotch/core/hash.hpp"
 #include "goldcrestnotch/escrow/retry_after.hpp"
+#include "goldcrestnotch/proxy/retry_after_header.hpp"
 #include "goldcrestnotch/proxy/upstream.hpp"
 #include "goldcrestnotch/proxy/wire_text.hpp"
 #include "goldcrestnotch/telemetry/log.hpp"
@@ -66,6 +67,11 @@
 /// A target that is still running this long after it began to respond has not
 /// been crashed by the prompt.
 static constexpr Millis SoundAnswer{500};
+static constexpr int StatusUnavailable = 503;
+/// A target that asked for no requests gets them again after a random further
+/// time of up to this fraction (1/N) of the wait, and at most the maximum.
+static constexpr int ReturnSpreadDivisor = 4;
+static constexpr Millis MaxReturnSpread{2'000};
 /// Largest response that is buffered; a longer one counts as lost. A VM has
 /// 160 MB of memory for all requests.
 static constexpr std::size_t MaxBodyBytes = 4U << 20U;
@@ -218,6 +224,7 @@
     const auto Target = chooseTarget();
     if (!Target) {
       Cause = PermitWait ? "targets_limited" : "no_target";
+      observeReturn();
       // There is no other target, so the last result is final.
       State.MaxAttempts = State.Sent;
       Step = State.Sent == 0 ? NextStep::Reject : nextStep(State, LastResult);
@@ -278,7 +285,7 @@
 
 bool Exchange::mayReceive(
     const std::shared_ptr<backend::Target> &Target) const {
-  return !Target->leaving() &&
+  return Target->accepts(DecisionClock::now()) &&
          Context.Targets.find(Target->Registered.Name) == Target;
 }
 
@@ -396,6 +403,7 @@
   const bool NotExecuted =
       Fields.find(Context.Headers.NotExecuted) != Fields.end();
   if (Remote.status() == 421 || NotExecuted) {
+    recordRetryAfter(Remote);
     std::string Discarded;
     if (!Remote.readAll(Discarded, MaxDiscardedBytes)) {
       Remote.connection()->Socket.close();
@@ -439,6 +447,41 @@
   }
 }
 
+void Exchange::observeReturn() {
+  const auto Now = DecisionClock::now();
+  if (const auto Return = Context.Targets.firstReturn(Now, Service)) {
+    const auto Wait = *Return - Now;
+    PermitWait = std::min(PermitWait.value_or(Wait), Wait);
+    Cause = "targets_paused";
+  }
+}
+
+void Exchange::recordRetryAfter(Upstream &Remote) {
+  const auto Text = view(Remote.fields()[wire::field::retry_after]);
+  if (Remote.status() != internal::StatusUnavailable || Text.empty()) {
+    return;
+  }
+  const auto Name = Remote.target().Registered.Name.str();
+  const auto Wait = parseRetryAfter(Text, std::chrono::system_clock::now());
+  if (!Wait) {
+    log(LogLevel::Warn, "target.retry_after_unreadable", {{"target", Name}});
+    return;
+  }
+  // VMs that were refused at the same moment must not return at the same one.
+  const auto Spread = std::min(*Wait / internal::ReturnSpreadDivisor,
+                               internal::MaxReturnSpread);
+  const auto Until =
+      DecisionClock::now() + *Wait +
+      std::chrono::duration_cast<Millis>(Spread * Context.draw());
+  auto &Target = Remote.target();
+  if (std::exchange(Target.NoRequestsUntil,
+                    std::max(Target.NoRequestsUntil, Until)) <
+      DecisionClock::now()) {
+    log(LogLevel::Info, "target.paused",
+        {{"target", Name}, {"wait_ms", Wait->count()}});
+  }
+}
+
 void Exchange::recordTargetState(Upstream &Remote) {
   // Status 421 comes from another target at the address.
   if (Remote.status() == 421 ||
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -75,6 +75,11 @@
   /// @brief Records the rate limit that the head of a response states, or that
   /// it states none.
   void recordRateLimit(Upstream &Remote);
+  /// @brief Takes the time for which a target that refused wants no requests.
+  void recordRetryAfter(Upstream &Remote);
+  /// @brief Takes the time of return of paused targets as the time after which
+  /// the caller may retry.
+  void observeReturn();
   /// @brief Takes what the head of a response states about its target.
   void recordTargetState(Upstream &Remote);
   /// @brief Mean time between the events of the response; zero if unknown.
@@ -139,7 +144,7 @@
   AttemptState State;
   std::vector<TargetId> TriedTargets;
   /// Shortest time until a target could get the request; nothing unless a
-  /// permit was refused and no other target was left.
+  /// permit was refused or targets are paused, and no other one was left.
   std::optional<Millis> PermitWait;
   AttemptResult LastResult = AttemptResult::Completed;
   int FailureStatus = 0; ///< Status of the last server error of a target.
