Records of other VMs may be nested to a limited depth only

A record of 50,000 nested arrays in keyed.roster or keyed.escrow ended the process (test, failed before: no answer).

--- a/src/goldcrestnotch/escrow/record.cpp
+++ b/src/goldcrestnotch/escrow/record.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "goldcrestnotch/core/bounded_cbor.hpp"
+
 namespace goldcrestnotch::escrow {
 
 using nlohmann::json;
@@ -34,7 +36,7 @@
 
 std::optional<HolderRecord> decodeRecord(std::string_view Bytes) {
   try {
-    const auto Document = json::from_cbor(Bytes.begin(), Bytes.end());
+    const auto Document = decodeCbor(Bytes);
     HolderRecord Result;
     Result.Sequence = Document.at("n").get<std::uint64_t>();
     Result.ControlAddress = Document.at("c").get<std::string>();
--- a/src/goldcrestnotch/peer/message.cpp
+++ b/src/goldcrestnotch/peer/message.cpp
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "goldcrestnotch/core/bounded_cbor.hpp"
+
 namespace goldcrestnotch {
 
 using nlohmann::json;
@@ -63,7 +65,7 @@
 
 PeerMessage decodePeer(std::string_view Bytes) {
   try {
-    return internal::parse(json::from_cbor(Bytes.begin(), Bytes.end()));
+    return internal::parse(decodeCbor(Bytes));
   } catch (const json::exception &Failure) {
     throw std::invalid_argument{Failure.what()};
   }
--- a/src/goldcrestnotch/roster/member_record.cpp
+++ b/src/goldcrestnotch/roster/member_record.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "goldcrestnotch/core/bounded_cbor.hpp"
 #include "goldcrestnotch/rollout/counts_codec.hpp"
 
 namespace goldcrestnotch::roster {
@@ -35,7 +36,7 @@
 
 std::optional<MemberRecord> decodeMember(std::string_view Bytes) {
   try {
-    const auto Document = json::from_cbor(Bytes.begin(), Bytes.end());
+    const auto Document = decodeCbor(Bytes);
     MemberRecord Result;
     Result.Incarnation = Document.at("b").get<std::string>();
     Result.Sequence = Document.at("n").get<std::uint64_t>();
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -426,6 +426,16 @@
             std::string::npos);
 }
 
+TEST(Platform, DeeplyNestedRecordsOfVmsDoNotEndTheVm) {
+  Fleet TestFleet;
+  ASSERT_TRUE(TestFleet.waitUntilReady());
+  for (const auto *Topic : {"keyed.roster", "keyed.escrow"}) {
+    TestFleet.Store.put(Topic, "10.0.0.9/odd", std::string(50'000, '\x81'));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds{1'000});
+  EXPECT_EQ(TestFleet.call(Order).Status, 200);
+}
+
 TEST(Platform, OddStatusOfAMoveDoesNotEndTheVm) {
   Fleet TestFleet;
   ASSERT_TRUE(TestFleet.waitUntilReady());
