--- a/standin/users_replica.cpp
+++ b/standin/users_replica.cpp
@@ -129,13 +129,25 @@
           std::string_view::npos) {
     crash(HttpExchange, Reply);
   }
+  if (respondFaulty(HttpExchange, Reply)) {
+    return;
+  }
+  if (!Request.field("X-Goldcrestnotch-Token-Usage").empty()) {
+    stream(HttpExchange, std::move(Reply));
+    return;
+  }
+  Reply.Body = "done by " + Name;
+  HttpExchange.reply(Reply);
+}
+
+bool UsersReplica::respondFaulty(Exchange &HttpExchange, Response &Reply) {
   if (CurrentBehavior == Behavior::OversizedHead) {
     for (int I = 0; I < OversizedHeadFields; ++I) {
       Reply.Fields["X-Noise-" + std::to_string(I)] =
           std::string(PieceBytes, 'x');
     }
     HttpExchange.reply(Reply);
-    return;
+    return true;
   }
   if (CurrentBehavior == Behavior::EndlessBody) {
     sendEndlessBody(HttpExchange, Reply);
@@ -148,11 +160,11 @@
     Reply.Status = 404;
     Reply.Body = "no such thing\n\n";
     HttpExchange.reply(Reply);
-    return;
+    return true;
   }
   if (CurrentBehavior == Behavior::EmptyBody) {
     HttpExchange.reply(Reply);
-    return;
+    return true;
   }
   if (CurrentBehavior == Behavior::RepeatedRefusal && Received++ % 2 == 1) {
     Response Refusal;
@@ -166,12 +178,7 @@
     StaleReply.Body = "stale";
     HttpExchange.reply(StaleReply);
   }
-  if (!Request.field("X-Goldcrestnotch-Token-Usage").empty()) {
-    stream(HttpExchange, std::move(Reply));
-    return;
-  }
-  Reply.Body = "done by " + Name;
-  HttpExchange.reply(Reply);
+  return false;
 }
 
 void UsersReplica::sendEndlessBody(Exchange &HttpExchange,
--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -98,6 +98,11 @@
   sendEndlessBody(goldcrestnotch::http::Exchange &HttpExchange,
                   const goldcrestnotch::http::Response &Head);
   void handle(goldcrestnotch::http::Exchange &HttpExchange);
+  /// @brief Writes what the current behavior sends before or in place of the
+  /// right response.
+  /// @return Whether that was in its place.
+  [[nodiscard]] bool respondFaulty(goldcrestnotch::http::Exchange &HttpExchange,
+                                   goldcrestnotch::http::Response &Reply);
   [[noreturn]] void crash(goldcrestnotch::http::Exchange &HttpExchange,
                           const goldcrestnotch::http::Response &Head);
   void stream(goldcrestnotch::http::Exchange &HttpExchange,
