Targets that crash together, or under a part that is known to be sound, lock nothing out

Crashes within 100 ms of each other, by the time that the notices state, now count once. A part that was answered before is refused for two seconds at first, then one request shows whether it is sound; five minutes remain for parts that nobody has seen answered.

--- a/src/goldcrestnotch/notices/message.cpp
+++ b/src/goldcrestnotch/notices/message.cpp
@@ -30,10 +30,13 @@
           Source.TargetsEnd};
 }
 
+[[nodiscard]] static std::uint64_t ageJson(Millis Age) {
+  return static_cast<std::uint64_t>(std::clamp<std::int64_t>(
+      Age.count(), 0, static_cast<std::int64_t>(MaxAgeMs)));
+}
+
 [[nodiscard]] static json toJson(const PartitionView &Source) {
-  const auto AgeMs = std::clamp<std::int64_t>(
-      Source.ProofAge.count(), 0, static_cast<std::int64_t>(MaxAgeMs));
-  return {Source.End, static_cast<std::uint64_t>(AgeMs)};
+  return {Source.End, ageJson(Source.ProofAge)};
 }
 
 [[nodiscard]] static json toJson(const ViewResponse &Source) {
@@ -56,7 +59,7 @@
 
 [[nodiscard]] static json toJson(const CrashNotice &Source) {
   return {Kind::Crash, Source.Ended.NameHash, Source.Ended.Incarnation,
-          toJson(Source.Parts)};
+          toJson(Source.Parts), ageJson(Source.Age)};
 }
 
 [[nodiscard]] static json toJson(const ClearanceNotice &Source) {
@@ -72,9 +75,13 @@
   return Value.get_ref<const json::number_unsigned_t &>();
 }
 
+[[nodiscard]] static Millis ageOf(const json &Value) {
+  return Millis{
+      static_cast<std::int64_t>(std::min(unsignedOf(Value), MaxAgeMs))};
+}
+
 [[nodiscard]] static PartitionView viewOf(const json &Value) {
-  const auto AgeMs = std::min(unsignedOf(Value.at(1)), MaxAgeMs);
-  return {unsignedOf(Value.at(0)), Millis{static_cast<std::int64_t>(AgeMs)}};
+  return {unsignedOf(Value.at(0)), ageOf(Value.at(1))};
 }
 
 [[nodiscard]] static std::vector<std::uint64_t> hashesOf(const json &Value) {
@@ -120,7 +127,8 @@
     case internal::Kind::Crash:
       return CrashNotice{{internal::unsignedOf(Document.at(1)),
                           internal::unsignedOf(Document.at(2))},
-                         internal::partsOf(Document.at(3))};
+                         internal::partsOf(Document.at(3)),
+                         internal::ageOf(Document.at(4))};
     case internal::Kind::Clearance:
       return ClearanceNotice{internal::partsOf(Document.at(1))};
     case internal::Kind::Leaving:
--- a/src/goldcrestnotch/notices/message.hpp
+++ b/src/goldcrestnotch/notices/message.hpp
@@ -52,6 +52,7 @@
 struct CrashNotice {
   quarantine::TargetRun Ended;
   std::vector<quarantine::PromptPart> Parts; ///< Shared parts of the prompt.
+  Millis Age{0}; ///< Time since then, when the message is sent.
 };
 
 /// @brief Says that a prompt with these parts was answered.
--- a/src/goldcrestnotch/notices/notice_socket.cpp
+++ b/src/goldcrestnotch/notices/notice_socket.cpp
@@ -66,11 +66,14 @@
 
 void NoticeSocket::broadcast(const Message &Content) {
   sendToAll(Content);
-  Recent.push_back({Content, internal::BroadcastRepeats});
+  Recent.push_back({Content, DecisionClock::now(), internal::BroadcastRepeats});
 }
 
 void NoticeSocket::repeatBroadcasts() {
   for (auto &Entry : Recent) {
+    if (auto *Crash = std::get_if<CrashNotice>(&Entry.Content)) {
+      Crash->Age = DecisionClock::now() - Entry.Sent;
+    }
     sendToAll(Entry.Content);
     --Entry.RepeatsLeft;
   }
--- a/src/goldcrestnotch/notices/notice_socket.hpp
+++ b/src/goldcrestnotch/notices/notice_socket.hpp
@@ -55,6 +55,7 @@
 private:
   struct Broadcast {
     Message Content;
+    Instant Sent{}; ///< For the first time.
     int RepeatsLeft = 0;
   };
 
--- a/src/goldcrestnotch/notices/shared_quarantine.cpp
+++ b/src/goldcrestnotch/notices/shared_quarantine.cpp
@@ -32,8 +32,8 @@
   if (Shared.empty()) {
     return;
   }
-  const CrashNotice Notice{{hashOf(Target.Name.str()), Target.Incarnation},
-                           Shared};
+  const CrashNotice Notice{
+      {hashOf(Target.Name.str()), Target.Incarnation}, Shared, Millis{0}};
   log(LogLevel::Warn, "prompt.broke_off",
       {{"target", Target.Name.str()}, {"parts", internal::toText(Shared)}});
   observeCrash(Now, Notice, "target");
@@ -42,8 +42,8 @@
 
 void SharedQuarantine::observeCrash(Instant Now, const CrashNotice &Notice,
                                     const char *Source) {
-  const auto Quarantined =
-      Quarantine.observeCrash(Now, Notice.Ended, Notice.Parts);
+  const auto Quarantined = Quarantine.observeCrash(Now, Now - Notice.Age,
+                                                   Notice.Ended, Notice.Parts);
   if (!Quarantined.empty()) {
     Counters.count("prompt_parts_quarantined_total", Quarantined.size());
     log(LogLevel::Warn, "prompt.quarantined",
@@ -62,8 +62,10 @@
 }
 
 void SharedQuarantine::handle(Instant Now, const CrashNotice &Notice) {
+  // Repeats differ in their age only.
+  const CrashNotice First{Notice.Ended, Notice.Parts, Millis{0}};
   const auto [It, New] =
-      Taken.emplace(hashOf(encode(Notice)), Now + internal::RepeatTime);
+      Taken.emplace(hashOf(encode(First)), Now + internal::RepeatTime);
   if (New) {
     observeCrash(Now, Notice, "vm");
   }
--- a/src/goldcrestnotch/quarantine/part_quarantine.cpp
+++ b/src/goldcrestnotch/quarantine/part_quarantine.cpp
@@ -4,6 +4,7 @@
 #include "goldcrestnotch/quarantine/part_quarantine.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace goldcrestnotch::quarantine {
 
@@ -51,7 +52,7 @@
       return Verdict::Refused;
     }
     const auto It = Suspicions.find(Part);
-    if (It != Suspicions.end() && It->second.Crashes.size() >= SuspectCrashes) {
+    if (It != Suspicions.end() && It->second.Moments.size() >= SuspectCrashes) {
       Result = Verdict::Suspect;
     }
   }
@@ -78,21 +79,44 @@
   return Result;
 }
 
+void PartQuarantine::remember(PromptPart Part) {
+  if (Answered.insert(Part).second && Answered.size() >= MaxAnswered) {
+    AnsweredEarlier = std::exchange(Answered, {});
+  }
+}
+
+bool PartQuarantine::answeredBefore(PromptPart Part) const {
+  return Answered.contains(Part) || AnsweredEarlier.contains(Part);
+}
+
+void PartQuarantine::add(Suspicion &Evidence, Instant When, TargetRun Ended) {
+  if (Evidence.Crashes.size() < MaxCrashesKept) {
+    Evidence.Crashes.insert(Ended);
+  }
+  const bool Correlated = std::any_of(
+      Evidence.Moments.begin(), Evidence.Moments.end(), [&](Instant Moment) {
+        return std::chrono::abs(When - Moment) < CorrelationTime;
+      });
+  if (!Correlated && Evidence.Moments.size() < MaxCrashesKept) {
+    Evidence.Moments.push_back(When);
+  }
+}
+
 std::vector<PromptPart>
-PartQuarantine::observeCrash(Instant Now, TargetRun Ended,
+PartQuarantine::observeCrash(Instant Now, Instant When, TargetRun Ended,
                              std::span<const PromptPart> Parts) {
   std::vector<PromptPart> Result;
   for (const auto Part : Parts) {
     auto &Evidence = Suspicions[Part];
-    if (Evidence.Crashes.size() < MaxCrashesKept) {
-      Evidence.Crashes.insert(Ended);
-    }
+    add(Evidence, When, Ended);
     Evidence.LastCrash = Now;
-    if (Evidence.Crashes.size() < RefusedCrashes || Now < Evidence.Deadline) {
+    if (std::min(Evidence.Crashes.size(), Evidence.Moments.size()) <
+            RefusedCrashes ||
+        Now < Evidence.Deadline) {
       continue;
     }
     const auto Refusal =
-        MinRefusal *
+        (answeredBefore(Part) ? MinRefusalOfKnownPart : MinRefusal) *
         (1 << std::min(Evidence.Relapses, internal::MaxRefusalDoublings));
     ++Evidence.Relapses;
     Evidence.Deadline = Now + std::min(Refusal, MaxRefusal);
@@ -104,10 +128,8 @@
 std::vector<PromptPart>
 PartQuarantine::observeAnswer(Instant Now, std::span<const PromptPart> Parts) {
   std::vector<PromptPart> Result;
-  if (Suspicions.empty()) {
-    return Result;
-  }
   for (const auto Part : Parts) {
+    remember(Part);
     if (Suspicions.erase(Part) > 0) {
       ClearedUntil[Part] = Now + ClearanceTime;
       Result.push_back(Part);
--- a/src/goldcrestnotch/quarantine/part_quarantine.hpp
+++ b/src/goldcrestnotch/quarantine/part_quarantine.hpp
@@ -45,6 +45,12 @@
   /// relapse, up to a maximum. Each trial afterwards may cost a target and all
   /// of its streams.
   static constexpr Millis MinRefusal{300'000};
+  /// The same for a part that has been answered before, such as one that all
+  /// prompts of a service share.
+  static constexpr Millis MinRefusalOfKnownPart{2'000};
+  /// Crashes within this time count once, since they may have another cause in
+  /// common, such as a rack that fails.
+  static constexpr Millis CorrelationTime{100};
   static constexpr Millis MaxRefusal{3'600'000};
   /// Suspicions are forgotten after this time without a crash.
   static constexpr Millis SuspicionTime{120'000};
@@ -62,8 +68,10 @@
   [[nodiscard]] std::vector<QuarantinedPart> quarantined(Instant Now) const;
 
   /// @brief Records that a response broke off at its beginning.
+  /// @param When It broke off then; reports of other VMs may arrive late.
   /// @return The parts that are quarantined because of it.
-  std::vector<PromptPart> observeCrash(Instant Now, TargetRun Ended,
+  std::vector<PromptPart> observeCrash(Instant Now, Instant When,
+                                       TargetRun Ended,
                                        std::span<const PromptPart> Parts);
   /// @brief Records that a target has answered a prompt and is still running.
   /// @return The parts that were under suspicion and are cleared.
@@ -79,6 +87,8 @@
   /// @brief What is held against a part.
   struct Suspicion {
     std::set<TargetRun> Crashes; ///< At most `MaxCrashesKept`.
+    /// Times of crashes that are not correlated; at most `MaxCrashesKept`.
+    std::vector<Instant> Moments;
     Instant LastCrash{};
     Instant Deadline{}; ///< Its requests are refused until then.
     int Relapses = 0;
@@ -87,7 +97,15 @@
   };
 
   static constexpr std::size_t MaxCrashesKept = 8;
+  /// Number of parts in each half of the memory.
+  static constexpr std::size_t MaxAnswered = 4'096;
 
+  /// @brief Remembers that prompts with a part have been answered.
+  void remember(PromptPart Part);
+  /// @brief Whether prompts with a part have been answered lately.
+  [[nodiscard]] bool answeredBefore(PromptPart Part) const;
+  /// @brief Adds a crash to what is held against a part.
+  static void add(Suspicion &Evidence, Instant When, TargetRun Ended);
   [[nodiscard]] bool refuses(Instant Now, PromptPart Part,
                              std::span<const PromptPart> Parts) const;
   /// @brief Whether a part that the request doesn't contain accounts for all
@@ -97,6 +115,9 @@
 
   std::map<PromptPart, Suspicion> Suspicions;
   std::map<PromptPart, Instant> ClearedUntil;
+  /// Parts that were answered, the newer and the older half of the memory.
+  std::set<PromptPart> Answered;
+  std::set<PromptPart> AnsweredEarlier;
 };
 
 } // namespace goldcrestnotch::quarantine
