--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -53,10 +53,12 @@
       {"store-down", &FaultInjector::stopStore},
       {"store-loses-answers", &FaultInjector::loseStoreAnswers},
       {"store-link", &FaultInjector::disruptStoreLink},
+      {"vm-store-link", &FaultInjector::disruptVmStoreLink},
       {"replica-mood", &FaultInjector::changeReplicaBehavior},
       {"replica-link", &FaultInjector::disruptReplicaLink},
       {"replica-limit", &FaultInjector::limitReplica},
       {"replica-leaves", &FaultInjector::drainReplica},
+      {"replica-notice", &FaultInjector::letReplicaAskForNothing},
       {"unchanged-version", &FaultInjector::publishVersionTwice},
       {"version", &FaultInjector::publishVersion}};
   return FaultsByName;
@@ -143,9 +145,15 @@
   disruptLink(Fleet.StoreLink, "the store", 4'000);
 }
 
+void FaultInjector::disruptVmStoreLink() {
+  const int Vm = randomBetween(0, static_cast<int>(VmsInUse.size()) - 1);
+  disruptLink(Fleet.vmStoreLink(Vm), "the store of vm-" + std::to_string(Vm),
+              4'000);
+}
+
 void FaultInjector::changeReplicaBehavior() {
   const int Number = randomBetween(0, Fleet.replicaCount() - 1);
-  const int BehaviorNumber = randomBetween(1, 5);
+  const int BehaviorNumber = randomBetween(1, 6);
   recordEvent("replica " + std::to_string(Number) + " behavior " +
               std::to_string(BehaviorNumber));
   Fleet.replica(Number).CurrentBehavior =
@@ -196,7 +204,7 @@
 
 void FaultInjector::disruptLink(FaultyLink &Link, const std::string &LinkName,
                                 int MaxDelayMs) {
-  const int FaultNumber = randomBetween(0, 4);
+  const int FaultNumber = randomBetween(0, 5);
   recordEvent("link to " + LinkName + ": " + std::to_string(FaultNumber));
   if (FaultNumber == 0) {
     Link.reset();
@@ -223,6 +231,30 @@
   });
 }
 
+void FaultInjector::letReplicaAskForNothing() {
+  const auto Number =
+      static_cast<std::size_t>(randomBetween(0, Fleet.replicaCount() - 1));
+  if (ReplicasInUse[Number]) {
+    return;
+  }
+  ReplicasInUse[Number] = true;
+  auto &Replica = Fleet.replica(static_cast<int>(Number));
+  const bool Leaves = randomBetween(0, 1) == 0;
+  recordEvent("replica " + Replica.name() +
+              (Leaves ? " says that it leaves" : " asks for a second"));
+  Replica.Leaving = Leaves;
+  Replica.RetryAfterS = Leaves ? 0 : 1;
+  scheduleUndo(1'000, 3'000, [this, Number, &Replica] {
+    if (Replica.Leaving) {
+      Replica.restart();
+    }
+    Replica.Leaving = false;
+    Replica.RetryAfterS = 0;
+    Fleet.registerReplica(Replica, "ready");
+    ReplicasInUse[Number] = false;
+  });
+}
+
 void FaultInjector::publishVersion() {
   ++ConfigVersion;
   recordEvent("version " + std::to_string(ConfigVersion));
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -45,12 +45,16 @@
   void stopStore();
   void loseStoreAnswers();
   void disruptStoreLink();
+  void disruptVmStoreLink();
   void changeReplicaBehavior();
   void disruptReplicaLink();
   /// @brief Lets a replica state a rate limit, and checks at the end of the
   /// fault that all VMs together kept to it.
   void limitReplica();
   void drainReplica();
+  /// @brief Lets a replica say in its responses that it leaves, after which it
+  /// is started again, or that it wants no requests for a second.
+  void letReplicaAskForNothing();
   /// @brief Publishes a new version with the default API key and a new one.
   void publishVersion();
   /// @brief Publishes a new version twice, with the default API key only.
--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -29,17 +29,17 @@
     Failing,          ///< Executes the request and responds 500.
     Disconnecting,    ///< Executes the request and closes without a response.
     TruncatingStream, ///< Closes in the middle of the third event of a stream.
+    StaleReply, ///< Sends a response with another request's id, then the right
+                ///< one.
     /// Responds to every second request with a refusal that names no request,
     /// as if an earlier one came again, and then with the right answer.
     RepeatedRefusal,
-    ClientError, ///< Executes the request and responds 404.
-    EmptyBody,   ///< Executes the request and responds 200 without a body.
-    StaleReply,  ///< Sends a response with another request's id, then the right
-                 ///< one.
     OversizedHead,    ///< Responds with a header section of 1 MiB.
     EndlessBody,      ///< Responds with a body that never ends.
     StaleEndlessBody, ///< Responds with an endless body and another request's
                       ///< id.
+    ClientError,      ///< Executes the request and responds 404.
+    EmptyBody,        ///< Executes the request and responds 200 without a body.
   };
 
   UsersReplica(boost::asio::io_context &Context, std::string Name,
