The newest proof of another VM counts, not the greatest end that one has reported

Found by reading: an end that is too great, such as that of a VM which has derived a deletion itself, would have made all VMs that heard of it refuse until a record reached it. The next proof of any VM now corrects it (ViewFreshness.WrongReport...).

--- a/src/goldcrestnotch/store/view_freshness.hpp
+++ b/src/goldcrestnotch/store/view_freshness.hpp
@@ -49,9 +49,11 @@
   /// @param When All records that the store had then are known to it.
   /// @param End The newest offset that it knows plus one.
   void observeOther(Instant When, std::uint64_t End) noexcept {
-    if (End >= OthersEnd) {
+    // The newest proof counts and not the greatest end, so that a wrong report
+    // is corrected by the next one.
+    if (When >= OthersProvenAt) {
       OthersEnd = End;
-      OthersProvenAt = std::max(OthersProvenAt, When);
+      OthersProvenAt = When;
     }
     if (End <= OwnEnd) {
       ProvenAt = std::max(ProvenAt, When);
@@ -62,7 +64,7 @@
   Millis MaxAge;
   Instant ProvenAt{}; ///< All records of that time are known to this VM.
   std::uint64_t OwnEnd = 0;
-  /// The greatest end that another VM has reported, and its proof.
+  /// The report of another VM with the newest proof.
   std::uint64_t OthersEnd = 0;
   Instant OthersProvenAt{};
 };
--- a/test/goldcrestnotch/store/view_freshness_test.cpp
+++ b/test/goldcrestnotch/store/view_freshness_test.cpp
@@ -53,5 +53,15 @@
   EXPECT_TRUE(View.behind());
 }
 
+TEST(ViewFreshness, WrongReportIsCorrectedByTheNextOne) {
+  ViewFreshness View{MaxAge};
+  View.observeOwn(Start, 5);
+  View.observeOther(Start + Millis{1}, UINT64_MAX);
+  EXPECT_TRUE(View.outdated(Start + MaxAge * 2));
+  View.observeOther(Start + MaxAge, 5);
+  EXPECT_FALSE(View.outdated(Start + MaxAge * 2));
+  EXPECT_FALSE(View.outdated(Start + MaxAge * 9));
+}
+
 } // namespace
 } // namespace goldcrestnotch::store
