Prefetch a smaller share of a budget near its end

Cause: what a process has drawn and not reported as spent counts as spent once the process has died.

Why this works: a request that is refused in an outage leaves its tokens in the budget for a later one, while tokens held by a process that dies are lost. Holding much therefore only pays while there is more than can be used. Below 30 s of demand the prefetched share now shrinks in proportion to what is left, less the requests in progress.

--- a/bench/model/escrow_fleet.hpp
+++ b/bench/model/escrow_fleet.hpp
@@ -148,6 +148,8 @@
   std::uint64_t FalseShortages = 0;
   /// Tokens that would be lost if all VMs lost power at the end of the run.
   std::int64_t TokensAtRisk = 0;
+  /// Those of `TokensAtRisk` that no request in progress has reserved.
+  std::int64_t IdleTokensAtRisk = 0;
 };
 
 /// @brief Simulates a fleet.
@@ -182,6 +184,12 @@
           std::max(Totals.TokensAtRisk,
                    Member->Table.totals(Name).Drawn.count() - Totals.Spent);
     }
+    Totals.IdleTokensAtRisk = Totals.TokensAtRisk;
+    for (const auto &Member : Vms) {
+      for (const auto &Running : Member->RunningRequests) {
+        Totals.IdleTokensAtRisk -= (Running.Bound - Running.ActualUse).count();
+      }
+    }
     return Totals;
   }
 
--- a/src/goldcrestnotch/escrow/token_holder.cpp
+++ b/src/goldcrestnotch/escrow/token_holder.cpp
@@ -242,6 +242,13 @@
   }
 }
 
+double TokenHolder::prefetchShare(double Left, double FleetRate) const {
+  const auto Percent = LargeFleet ? Size.MaxPercentLending : Size.MaxPercent;
+  const double SecondsLeft = Left / FleetRate;
+  return static_cast<double>(Percent) / 100 *
+         std::min(SecondsLeft / internal::seconds(Size.ScarceSpan), 1.0);
+}
+
 Tokens TokenHolder::desiredHolding(Instant Now, const WorkspaceState &State,
                                    const Totals &Sums, Tokens Budget,
                                    Tokens Own, std::size_t Vms) const {
@@ -249,7 +256,6 @@
     return State.Reserved;
   }
   const auto Count = static_cast<std::int64_t>(std::max<std::size_t>(Vms, 1));
-  const Tokens Left = std::max(Budget - Sums.Spent, Tokens{});
   const Tokens Free = std::max(Budget - Sums.Drawn, Tokens{});
   const double Rate = rate(State, Now);
   const Tokens Demand{
@@ -257,9 +263,14 @@
   const Tokens Floor = (Free + Own) / (Size.FloorDivisor * Count);
   const double FleetRate =
       std::max(static_cast<double>(Sums.Rate.count()), Rate) + 1.0;
-  const auto Percent = LargeFleet ? Size.MaxPercentLending : Size.MaxPercent;
+  // Requests in progress on other VMs are estimated from those on this one.
+  const double InProgress =
+      static_cast<double>(State.Reserved.count()) *
+      std::min(FleetRate / std::max(Rate, 1.0), static_cast<double>(Count));
+  const double Left = std::max(
+      static_cast<double>((Budget - Sums.Spent).count()) - InProgress, 0.0);
   const Tokens Share{static_cast<std::int64_t>(
-      static_cast<double>((Left * Percent / 100).count()) *
+      Left * prefetchShare(Left, FleetRate) *
       std::max(Rate / FleetRate, 0.5 / static_cast<double>(Count)))};
   const Tokens Lent{
       static_cast<std::int64_t>(State.RecentlyLent * decayFactor(State, Now))};
--- a/src/goldcrestnotch/escrow/token_holder.hpp
+++ b/src/goldcrestnotch/escrow/token_holder.hpp
@@ -66,6 +66,10 @@
   /// In a large fleet, the share that the homes prefetch, in hundredths. It is
   /// smaller because the VMs that borrow from them hold some tokens as well.
   std::int64_t MaxPercentLending = 25;
+  /// Once what is left of a budget lasts less than this, the prefetched share
+  /// shrinks in proportion. Tokens held by processes that die count as spent,
+  /// while a request refused in an outage leaves its tokens for later ones.
+  Millis ScarceSpan{30'000};
 };
 
 /// @brief Tokens left behind by processes of this VM that have ended.
@@ -221,6 +225,10 @@
   [[nodiscard]] Tokens desiredHolding(Instant Now, const WorkspaceState &State,
                                       const Totals &Sums, Tokens Budget,
                                       Tokens Own, std::size_t Vms) const;
+  /// @brief Share of what is left of a budget that all VMs together prefetch.
+  /// @param Left Tokens that are neither spent nor reserved.
+  /// @param FleetRate Demand of all VMs in tokens a second.
+  [[nodiscard]] double prefetchShare(double Left, double FleetRate) const;
   /// @brief Account of a workspace for the next record.
   /// @param Own Tokens drawn so far.
   /// @param Urgent Set to true if the record should be written soon.
--- a/test/model/escrow_fleet_test.cpp
+++ b/test/model/escrow_fleet_test.cpp
@@ -66,6 +66,18 @@
   }
 }
 
+TEST(EscrowFleet, PowerLossOfAllVmsNearTheEndOfABudgetStrandsLittle) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    EscrowSimulationSettings Settings;
+    Settings.Seed = Seed;
+    Settings.Vms = 8;
+    Settings.Budget = 4'400'000; // Lasts about 9 s longer than the run.
+    const auto Result = simulateEscrow(Settings);
+    EXPECT_LE(Result.IdleTokensAtRisk, Settings.Budget * 3 / 100)
+        << "seed " << Seed;
+  }
+}
+
 TEST(EscrowFleet, UsesTheWholeBudgetOnQuietDays) {
   for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
     EscrowSimulationSettings Settings;
