Judge by the part of a budget that is left, not by how long it lasts

Cause: the demand of a workspace within some seconds is several times its mean, so a budget of which 9 in 100 was spent counted as nearly at its end (seye263 at 10.3 s), and VMs that were cut from each other refused. The part of the budget that is left has no such noise. Homes that lend are left out: they already hold less by what they have lent (idle tokens of the model at 9 VMs: 1 in 100 of the budget).

--- a/src/goldcrestnotch/escrow/token_holder.cpp
+++ b/src/goldcrestnotch/escrow/token_holder.cpp
@@ -242,11 +242,15 @@
   }
 }
 
-double TokenHolder::prefetchShare(double Left, double FleetRate) const {
+double TokenHolder::prefetchShare(Tokens Left, Tokens Budget) const {
   const auto Percent = LargeFleet ? Size.MaxPercentLending : Size.MaxPercent;
-  const double SecondsLeft = Left / FleetRate;
-  return static_cast<double>(Percent) / 100 *
-         std::min(SecondsLeft / internal::seconds(Size.ScarceSpan), 1.0);
+  const auto Scarce = Budget * Size.ScarcePercent / 100;
+  // Homes that lend already hold less by what they have lent.
+  const double Plenty = HasBorrowers || Left >= Scarce
+                            ? 1.0
+                            : static_cast<double>(Left.count()) /
+                                  static_cast<double>(Scarce.count());
+  return static_cast<double>(Percent) / 100 * Plenty * Plenty;
 }
 
 Tokens TokenHolder::desiredHolding(Instant Now, const WorkspaceState &State,
@@ -263,14 +267,9 @@
   const Tokens Floor = (Free + Own) / (Size.FloorDivisor * Count);
   const double FleetRate =
       std::max(static_cast<double>(Sums.Rate.count()), Rate) + 1.0;
-  // Requests in progress on other VMs are estimated from those on this one.
-  const double InProgress =
-      static_cast<double>(State.Reserved.count()) *
-      std::min(FleetRate / std::max(Rate, 1.0), static_cast<double>(Count));
-  const double Left = std::max(
-      static_cast<double>((Budget - Sums.Spent).count()) - InProgress, 0.0);
+  const Tokens Left = std::max(Budget - Sums.Spent, Tokens{});
   const Tokens Share{static_cast<std::int64_t>(
-      Left * prefetchShare(Left, FleetRate) *
+      static_cast<double>(Left.count()) * prefetchShare(Left, Budget) *
       std::max(Rate / FleetRate, 0.5 / static_cast<double>(Count)))};
   const Tokens Lent{
       static_cast<std::int64_t>(State.RecentlyLent * decayFactor(State, Now))};
--- a/src/goldcrestnotch/escrow/token_holder.hpp
+++ b/src/goldcrestnotch/escrow/token_holder.hpp
@@ -66,10 +66,11 @@
   /// In a large fleet, the share that the homes prefetch, in hundredths. It is
   /// smaller because the VMs that borrow from them hold some tokens as well.
   std::int64_t MaxPercentLending = 25;
-  /// Once what is left of a budget lasts less than this, the prefetched share
-  /// shrinks in proportion. Tokens held by processes that die count as spent,
-  /// while a request refused in an outage leaves its tokens for later ones.
-  Millis ScarceSpan{30'000};
+  /// Once less than this part of a budget is left, in hundredths, the
+  /// prefetched share shrinks with its square. Tokens held by processes that
+  /// die count as spent, while a request refused in an outage leaves its tokens
+  /// for later ones.
+  std::int64_t ScarcePercent = 50;
 };
 
 /// @brief Tokens left behind by processes of this VM that have ended.
@@ -226,9 +227,8 @@
                                       const Totals &Sums, Tokens Budget,
                                       Tokens Own, std::size_t Vms) const;
   /// @brief Share of what is left of a budget that all VMs together prefetch.
-  /// @param Left Tokens that are neither spent nor reserved.
-  /// @param FleetRate Demand of all VMs in tokens a second.
-  [[nodiscard]] double prefetchShare(double Left, double FleetRate) const;
+  /// @param Left Tokens of the budget that are not spent.
+  [[nodiscard]] double prefetchShare(Tokens Left, Tokens Budget) const;
   /// @brief Account of a workspace for the next record.
   /// @param Own Tokens drawn so far.
   /// @param Urgent Set to true if the record should be written soon.
@@ -247,9 +247,9 @@
   std::uint64_t LastSequence = 0;
   bool WriteRequested = false;
   bool Leaving = false;
-  bool HasBorrowers = false; ///< There are more VMs than homes.
-  bool LargeFleet = false;   ///< Not all VMs write records.
-  bool Joined = false;       ///< A record has been proposed.
+  bool HasBorrowers = false;   ///< There are more VMs than homes.
+  bool LargeFleet = false;     ///< Not all VMs write records.
+  bool Joined = false;         ///< A record has been proposed.
 };
 
 } // namespace goldcrestnotch::escrow
