--- a/bench/model/escrow_fleet.hpp
+++ b/bench/model/escrow_fleet.hpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "goldcrestnotch/escrow/partition_sync.hpp"
@@ -42,6 +43,11 @@
                          std::uint64_t Offset, Millis) {
     failIf(Unavailable);
     store::ReadResult Result;
+    Result.Era = Era;
+    Result.Trimmed = Offset > Records.size();
+    if (Result.Trimmed) {
+      return Result;
+    }
     Result.Next = Records.size();
     Result.Records.assign(Records.begin() + static_cast<std::ptrdiff_t>(Offset),
                           Records.end());
@@ -57,6 +63,7 @@
     }
     store::NewestResult Result;
     Result.End = Records.size();
+    Result.Era = Era;
     for (const auto &[Key, Record] : Newest) {
       if (Record.Value) {
         Result.Records.push_back(Record);
@@ -77,7 +84,18 @@
     if (chance(Rates.LostResponse)) {
       throw store::StoreError{"no answer", true};
     }
-    return {Applied, Records.size()};
+    return {Applied, Records.size(), Era};
+  }
+
+  /// @brief Number of records, to which `restore` can go back.
+  [[nodiscard]] std::size_t size() const noexcept { return Records.size(); }
+  /// @brief Loses the records after the first ones and begins a new era.
+  void restore(std::size_t Size) {
+    Records.resize(std::min(Size, Records.size()));
+    ++Era;
+    for (auto &Record : Records) {
+      Record.Era = Era;
+    }
   }
 
   /// @brief Lets each delayed append take effect in its order, with a chance of
@@ -105,6 +123,7 @@
     }
     for (auto Record : NewRecords) {
       Record.Offset = Records.size();
+      Record.Era = Era;
       Records.push_back(std::move(Record));
     }
     return true;
@@ -112,6 +131,7 @@
 
   std::mt19937_64 Random;
   std::vector<store::Record> Records;
+  std::uint64_t Era = 1;
   std::deque<std::pair<std::uint64_t, std::vector<store::Record>>>
       DelayedAppends;
 };
@@ -130,7 +150,10 @@
   double OutagePerStep = 0; ///< Probability of a log outage of 0.5 to 8 s.
   Millis OutageStart{-1};   ///< Start of an additional outage of 8 s; negative
                             ///< for none.
-  double LostLoanRate = 0;  ///< Probability that a loan's response is lost.
+  /// Probability that the log goes away for 0.5 to 4 s and returns from a copy
+  /// that is 1 to 15 s old.
+  double RestorePerStep = 0;
+  double LostLoanRate = 0; ///< Probability that a loan's response is lost.
   bool Loans = true;
   double TopUpPerStep = 0; ///< Probability; adds a tenth of the budget.
 };
@@ -239,8 +262,21 @@
 
   void injectFaults() {
     Log.applyDelayed();
+    LogSizes.push_back(Log.size());
     if (Now >= OutageEnd) {
+      if (RestoredSize) {
+        Log.restore(*std::exchange(RestoredSize, std::nullopt));
+      }
       Log.Unavailable = false;
+      if (randomUnit() < Settings.RestorePerStep) {
+        const auto Age =
+            static_cast<std::size_t>(randomDelay(1'000, 15'000) / Step);
+        RestoredSize =
+            LogSizes.size() > Age ? LogSizes[LogSizes.size() - 1 - Age] : 0;
+        Log.Unavailable = true;
+        OutageEnd = Now + randomDelay(500, 4'000);
+        return;
+      }
       if (randomUnit() < Settings.OutagePerStep) {
         Log.Unavailable = true;
         OutageEnd = Now + randomDelay(500, 8'000);
@@ -390,6 +426,9 @@
   EscrowSimulationResult Totals;
   Instant Now{};
   Instant OutageEnd{};
+  std::vector<std::size_t> LogSizes; ///< After each step.
+  /// What the log goes back to at the end of the outage.
+  std::optional<std::size_t> RestoredSize;
   int BootCount = 0;
 };
 
--- a/src/goldcrestnotch/backend/target.hpp
+++ b/src/goldcrestnotch/backend/target.hpp
@@ -26,6 +26,7 @@
   std::int64_t Capacity = 1;     ///< Number of requests that it runs at once.
   bool Leaving = false;          ///< It accepts no new requests.
   std::uint64_t Incarnation = 0; ///< Differs between two starts of one name.
+  std::uint64_t Sequence = 0; ///< Number of the entry within the incarnation.
 };
 
 /// @brief The class of prompts that a target is reserved for.
--- a/src/goldcrestnotch/backend/target_set.cpp
+++ b/src/goldcrestnotch/backend/target_set.cpp
@@ -205,7 +205,24 @@
   LastName = Update.Name;
 }
 
+bool TargetSet::outdated(const Registration &Update) const {
+  if (Update.Incarnation == 0) {
+    return false; // Restarts of the target can't be told apart.
+  }
+  if (const auto Known = find(Update.Name)) {
+    return Known->Registered.Incarnation == Update.Incarnation &&
+           Update.Sequence < Known->Registered.Sequence;
+  }
+  const auto Removed = RemovedRuns.find(Update.Name);
+  return Removed != RemovedRuns.end() &&
+         Removed->second.Incarnation == Update.Incarnation &&
+         Update.Sequence <= Removed->second.Sequence;
+}
+
 void TargetSet::apply(Registration Update) {
+  if (outdated(Update)) {
+    return;
+  }
   removePredecessor(Update);
   auto &Entry = Targets[Update.Name];
   const bool Replaced =
@@ -297,11 +314,17 @@
 void TargetSet::expire(Instant Now) {
   std::erase_if(LeavingRuns,
                 [&](const auto &Entry) { return Now >= Entry.second; });
+  std::erase_if(RemovedRuns, [&](const auto &Entry) {
+    return Now >= Entry.second.MemoryDeadline;
+  });
   std::erase_if(Targets, [&](const auto &Entry) {
     if (Now < Entry.second->RemovalDeadline) {
       return false;
     }
-    auto &List = TargetsByService[Entry.second->Registered.Service];
+    const auto &Registered = Entry.second->Registered;
+    RemovedRuns[Entry.first] = {Registered.Incarnation, Registered.Sequence,
+                                Now + internal::LeavingMemory};
+    auto &List = TargetsByService[Registered.Service];
     std::erase(List, Entry.second);
     assignPromptKinds(List);
     NamesByHash.erase(hashOf(Entry.first.str()));
--- a/src/goldcrestnotch/backend/target_set.hpp
+++ b/src/goldcrestnotch/backend/target_set.hpp
@@ -101,7 +101,8 @@
 
   /// @brief Inserts or updates a registration. Another target that was last
   /// registered at the same address with no newer incarnation has ended, and is
-  /// removed at once.
+  /// removed at once. An entry that is older than the known one of the same run
+  /// is ignored; a store that was restored from an older copy returns some.
   void apply(Registration Update);
   /// @brief Marks a target whose registration vanished for removal after a
   /// timeout.
@@ -135,6 +136,8 @@
   /// @brief Removes the target that was last registered at the address of a new
   /// registration, unless its incarnation is newer.
   void removePredecessor(const Registration &Update);
+  /// @brief Whether an entry is older than the known one of the same run.
+  [[nodiscard]] bool outdated(const Registration &Update) const;
   /// @brief Whether a target may get a request at all.
   [[nodiscard]] static bool eligible(Instant Now, const Target &Candidate,
                                      const TargetRequest &Request);
@@ -161,6 +164,13 @@
   /// Runs that are known to leave, by hash of the name and incarnation, and how
   /// long they are remembered: a registration may vanish and come back.
   std::map<std::pair<std::uint64_t, std::uint64_t>, Instant> LeavingRuns;
+  /// Number of the last entry of each removed target, by incarnation and name.
+  struct RemovedRun {
+    std::uint64_t Incarnation = 0;
+    std::uint64_t Sequence = 0;
+    Instant MemoryDeadline{}; ///< Remembered until then.
+  };
+  std::map<TargetId, RemovedRun> RemovedRuns;
   /// The target that registered last at each address.
   std::map<http::Endpoint, TargetId> NamesByEndpoint;
   std::map<ServiceId, TargetList> TargetsByService;
--- a/src/goldcrestnotch/escrow/admission_gate.hpp
+++ b/src/goldcrestnotch/escrow/admission_gate.hpp
@@ -173,7 +173,7 @@
     const auto Free =
         Request.Budget - Part.Table.totals(Request.Workspace).Drawn;
     const bool CanDraw = Part.Holder.joined() || Partitions.size() == 1;
-    return CanDraw && IsStoreUp() &&
+    return CanDraw && IsStoreUp() && !Part.Holder.drawsSuspended() &&
            Free + Part.Holder.available(Request.Workspace) >= Request.Bound;
   }
 
--- a/src/goldcrestnotch/escrow/holder_table.cpp
+++ b/src/goldcrestnotch/escrow/holder_table.cpp
@@ -8,6 +8,20 @@
 
 namespace goldcrestnotch::escrow {
 
+namespace internal {
+
+[[nodiscard]] static bool isNewer(const HolderTable::Entry &Known,
+                                  std::uint64_t Offset,
+                                  const std::optional<HolderRecord> &Record) {
+  if (!Known.Record || !Record) {
+    return Known.Record.has_value();
+  }
+  return Record->Sequence > Known.Record->Sequence ||
+         (Record->Sequence == Known.Record->Sequence && Offset > Known.Offset);
+}
+
+} // namespace internal
+
 const HolderRecord *HolderTable::find(const HolderName &Name) const {
   const auto It = Entries.find(Name);
   return It == Entries.end() || !It->second.Record ? nullptr
@@ -22,7 +36,7 @@
 void HolderTable::apply(std::uint64_t Offset, const HolderName &Name,
                         std::optional<HolderRecord> Record) {
   const auto [It, Inserted] = Entries.try_emplace(Name);
-  if (!Inserted && Offset <= It->second.Offset) {
+  if (!Inserted && !internal::isNewer(It->second, Offset, Record)) {
     return;
   }
   if (It->second.Record) {
--- a/src/goldcrestnotch/escrow/holder_table.hpp
+++ b/src/goldcrestnotch/escrow/holder_table.hpp
@@ -22,8 +22,10 @@
   Tokens Rate;
 };
 
-/// @brief The newest record of each holder up to an offset of the store's log.
-/// The state does not depend on the order in which records are applied.
+/// @brief The newest record of each holder, by the sequence number that the
+/// holder gives it. The state does not depend on the order in which records are
+/// applied, and a store that was restored from an older copy does not take it
+/// back.
 class HolderTable {
 public:
   struct Entry {
@@ -37,11 +39,12 @@
   /// @brief The newest record of a holder; null if it has none.
   [[nodiscard]] const HolderRecord *find(const HolderName &Name) const;
   [[nodiscard]] Totals totals(const WorkspaceId &Workspace) const;
-  /// @brief Offset of the newest record applied, of any holder.
+  /// @brief Greatest offset of a record applied, of any holder.
   [[nodiscard]] std::uint64_t newest() const noexcept { return Newest; }
 
   /// @brief Applies a record. A record that is not newer than the known one of
-  /// the same holder is ignored.
+  /// the same holder is ignored, and so is any record of a holder that was
+  /// dropped: only processes that have ended are.
   /// @param Record Nothing if the holder's record was dropped.
   void apply(std::uint64_t Offset, const HolderName &Name,
              std::optional<HolderRecord> Record);
--- a/src/goldcrestnotch/escrow/partition_sync.hpp
+++ b/src/goldcrestnotch/escrow/partition_sync.hpp
@@ -8,10 +8,12 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "goldcrestnotch/escrow/restored_records.hpp"
 #include "goldcrestnotch/escrow/token_holder.hpp"
 #include "goldcrestnotch/store/keyed_feed.hpp"
 #include "goldcrestnotch/telemetry/log.hpp"
@@ -26,6 +28,10 @@
   /// The interval grows with the number of VMs that write to the partition,
   /// since one partition takes the writes of all of them.
   Millis HeartbeatIntervalPerVm{16};
+  /// How long a VM waits, after the store was restored from an older copy, for
+  /// other VMs to write their newest records again before it draws tokens. A VM
+  /// that has not done so by then is down or cut off and draws nothing itself.
+  Millis RestoreTimeout{3'500};
 };
 
 /// @brief Synchronizes a holder with one partition of holder records.
@@ -63,13 +69,19 @@
             const HomePredicate &IsHome) {
     for (int Attempt = 0; Attempt < MaxAttempts; ++Attempt) {
       Feed.poll(Yield, Millis{0});
+      observeEra(Now);
       resolvePending();
+      const bool TimedOut = Now >= RestoreDeadline;
+      Holder.suspendDraws(!TimedOut && !restored(Table, Feed.era()));
+      const auto Missing = recordsToWriteAgain(TimedOut);
       auto Next = Holder.propose(Now, Table, Budgets, Workspaces, Vms, IsHome);
       Next.Record.ControlAddress = Settings.ControlAddress;
-      if (!Holder.worthWriting(Next) && Now < HeartbeatDeadline) {
+      Next.Record.Era = Feed.era();
+      if (!Holder.worthWriting(Next) && Now < HeartbeatDeadline &&
+          Missing.empty()) {
         return;
       }
-      if (write(Yield, Next)) {
+      if (write(Yield, Next, Missing)) {
         HeartbeatDeadline = Now + heartbeatInterval();
         return;
       }
@@ -81,11 +93,40 @@
   /// the append.
   static constexpr int MaxAttempts = 4;
 
+  /// @brief Begins anew if the store was restored from an older copy: this VM's
+  /// record has to be written again, and draws wait for those of other VMs.
+  void observeEra(Instant Now) {
+    if (Feed.era() == Era) {
+      return;
+    }
+    KnowsEarlierEra = Era.has_value();
+    Era = Feed.era();
+    Restoring = true;
+    RestoreDeadline = Now + Settings.RestoreTimeout;
+    HeartbeatDeadline = Instant{};
+    Holder.forgetPending();
+  }
+
+  /// @brief The records of other holders that the store has lost. Only for some
+  /// time after a restore is there anything to look for.
+  [[nodiscard]] std::vector<store::Record> recordsToWriteAgain(bool TimedOut) {
+    if (!Restoring) {
+      return {};
+    }
+    auto Result = recordsToRestore(
+        Table, Holder.name(), Feed.era(), KnowsEarlierEra && TimedOut,
+        [this](const std::string &Key) { return Feed.value(Key); });
+    Restoring = !TimedOut || !Result.empty();
+    return Result;
+  }
+
+  /// @param Missing Records of other holders that the store has lost.
   /// @return Whether the record was written.
   [[nodiscard]] bool write(boost::asio::yield_context Yield,
-                           const Proposal &Next) {
+                           const Proposal &Next,
+                           const std::vector<store::Record> &Missing) {
     const auto Condition = Feed.nextOffset();
-    std::vector<store::Record> Records;
+    std::vector<store::Record> Records = Missing;
     for (const auto &Name : Next.EndedHolders) {
       Records.push_back({0, Name.str(), std::nullopt});
     }
@@ -94,11 +135,15 @@
     LastCondition = Condition;
     const auto Result =
         Store.append(Yield, Feed.partition(), Condition, Records);
-    if (!Result.Appended) {
-      return false; // The next read shows whether an earlier write succeeded.
+    if (!Result.Appended || Result.Era != Feed.era()) {
+      // The next read shows whether an earlier write succeeded, or begins anew
+      // if the store was restored meanwhile.
+      Feed.enterEra(Result.Era);
+      return false;
     }
     for (std::size_t I = 0; I < Records.size(); ++I) {
       Records[I].Offset = Condition + I;
+      Records[I].Era = Feed.era();
       Feed.apply(Records[I]);
     }
     resolvePending();
@@ -155,6 +200,11 @@
   store::KeyedFeed<Log> Feed;
   std::uint64_t LastCondition = 0; ///< Of the last append.
   Instant HeartbeatDeadline{};
+  std::optional<std::uint64_t> Era; ///< Of the store; absent before a read.
+  bool KnowsEarlierEra = false;     ///< The table holds records of an earlier
+                                    ///< one.
+  bool Restoring = false;    ///< The store may lack records of other holders.
+  Instant RestoreDeadline{}; ///< Other VMs are not waited for after it.
 };
 
 } // namespace goldcrestnotch::escrow
--- a/src/goldcrestnotch/escrow/record.cpp
+++ b/src/goldcrestnotch/escrow/record.cpp
@@ -27,9 +27,12 @@
                                  Entry.InDoubt.count(), Entry.Wanted.count(),
                                  Entry.Rate.count()};
   }
-  const json Document{{"n", Source.Sequence},
-                      {"c", Source.ControlAddress},
-                      {"a", std::move(Accounts)}};
+  json Document{{"n", Source.Sequence},
+                {"c", Source.ControlAddress},
+                {"a", std::move(Accounts)}};
+  if (Source.Era) {
+    Document["e"] = *Source.Era;
+  }
   const auto Bytes = json::to_cbor(Document);
   return {Bytes.begin(), Bytes.end()};
 }
@@ -47,6 +50,9 @@
       Result.Accounts[WorkspaceId{Workspace}] = {Field(0), Field(1), Field(2),
                                                  Field(3), Field(4)};
     }
+    if (const auto Era = Document.find("e"); Era != Document.end()) {
+      Result.Era = Era->get<std::uint64_t>();
+    }
     return Result;
   } catch (const json::exception &) {
     return std::nullopt; // The caller logs the key of the record.
--- a/src/goldcrestnotch/escrow/record.hpp
+++ b/src/goldcrestnotch/escrow/record.hpp
@@ -39,6 +39,10 @@
   std::uint64_t Sequence = 0; ///< Number of this record within the process.
   std::string ControlAddress; ///< Address that other VMs connect to.
   std::map<WorkspaceId, Account> Accounts;
+  /// Era of the store in which the holder wrote the record, or in which another
+  /// VM that knew the holder's newest record confirmed it. Records of processes
+  /// that know no eras have none.
+  std::optional<std::uint64_t> Era;
 
   auto operator<=>(const HolderRecord &) const = default;
 };
--- a/src/goldcrestnotch/escrow/token_holder.cpp
+++ b/src/goldcrestnotch/escrow/token_holder.cpp
@@ -294,7 +294,7 @@
           : State.Reserved;
   const Tokens Need = Leaving ? Tokens{} : State.Wanted;
   const Tokens Goal = std::max(Desired, State.Reserved + Need);
-  if (Held < Goal && Free > Tokens{}) {
+  if (Held < Goal && Free > Tokens{} && !DrawsSuspended) {
     Result.Drawn += std::min(Goal - Held, Free);
     Urgent |= Held < Desired * internal::LowPercent / 100 || Need > Tokens{};
   } else if (Held > Goal) {
@@ -321,7 +321,9 @@
   HasBorrowers = Vms > HomeCount;
   LargeFleet = Vms > Size.MaxSmallFleet;
   Joined = true;
-  inherit(Table, Result);
+  if (!DrawsSuspended) {
+    inherit(Table, Result);
+  }
   for (const auto &Workspace : Workspaces) {
     States.try_emplace(Workspace);
   }
@@ -366,6 +368,13 @@
                      });
 }
 
+void TokenHolder::forgetPending() {
+  for (auto &[Workspace, Entry] : Confirmed.Accounts) {
+    Entry.Drawn = minDrawn(Workspace);
+  }
+  Pending.clear();
+}
+
 void TokenHolder::markSent(const Proposal &Next) {
   Pending.push_back(Next);
   WriteRequested = false;
--- a/src/goldcrestnotch/escrow/token_holder.hpp
+++ b/src/goldcrestnotch/escrow/token_holder.hpp
@@ -183,6 +183,14 @@
   bool confirm(std::uint64_t Sequence);
   /// @brief Discards the pending records: none can take effect any more.
   void abandon() noexcept { Pending.clear(); }
+  /// @brief Discards the pending records after the store was restored from an
+  /// older copy. Whether they were written is not known any more, so only the
+  /// lowest amounts that any of them or the confirmed record drew are kept.
+  void forgetPending();
+  /// @brief Stops drawing tokens and taking over those of ended processes, or
+  /// goes on with both.
+  void suspendDraws(bool Suspended) noexcept { DrawsSuspended = Suspended; }
+  [[nodiscard]] bool drawsSuspended() const noexcept { return DrawsSuspended; }
   /// @brief Makes this holder give back every token that is not reserved.
   void startLeaving() noexcept { Leaving = true; }
   /// @brief Whether records are pending whose outcome is unknown.
@@ -247,6 +255,7 @@
   std::uint64_t LastSequence = 0;
   bool WriteRequested = false;
   bool Leaving = false;
+  bool DrawsSuspended = false; ///< The table may lack draws of other VMs.
   bool HasBorrowers = false;   ///< There are more VMs than homes.
   bool LargeFleet = false;     ///< Not all VMs write records.
   bool Joined = false;         ///< A record has been proposed.
--- a/src/goldcrestnotch/notices/message.cpp
+++ b/src/goldcrestnotch/notices/message.cpp
@@ -25,9 +25,16 @@
 /// A stated age is bounded, so that differences of times can't overflow.
 static constexpr std::uint64_t MaxAgeMs = 3'600'000;
 
+/// @brief A position, as its offset alone if the store states no era: so VMs
+/// that know of no eras understand it.
+[[nodiscard]] static json toJson(const store::Position &Source) {
+  return Source.Era == 0 ? json(Source.Offset)
+                         : json{Source.Era, Source.Offset};
+}
+
 [[nodiscard]] static json toJson(const ViewRequest &Source) {
-  return {Kind::ViewRequest, Source.Nonce, Source.OperatorEnd,
-          Source.TargetsEnd};
+  return {Kind::ViewRequest, Source.Nonce, toJson(Source.OperatorEnd),
+          toJson(Source.TargetsEnd)};
 }
 
 [[nodiscard]] static std::uint64_t ageJson(Millis Age) {
@@ -36,7 +43,7 @@
 }
 
 [[nodiscard]] static json toJson(const PartitionView &Source) {
-  return {Source.End, ageJson(Source.ProofAge)};
+  return {toJson(Source.End), ageJson(Source.ProofAge)};
 }
 
 [[nodiscard]] static json toJson(const ViewResponse &Source) {
@@ -80,8 +87,15 @@
       static_cast<std::int64_t>(std::min(unsignedOf(Value), MaxAgeMs))};
 }
 
+[[nodiscard]] static store::Position positionOf(const json &Value) {
+  if (Value.is_array()) {
+    return {unsignedOf(Value.at(0)), unsignedOf(Value.at(1))};
+  }
+  return {0, unsignedOf(Value)};
+}
+
 [[nodiscard]] static PartitionView viewOf(const json &Value) {
-  return {unsignedOf(Value.at(0)), ageOf(Value.at(1))};
+  return {positionOf(Value.at(0)), ageOf(Value.at(1))};
 }
 
 [[nodiscard]] static std::vector<std::uint64_t> hashesOf(const json &Value) {
@@ -115,8 +129,8 @@
     switch (static_cast<internal::Kind>(internal::unsignedOf(Document.at(0)))) {
     case internal::Kind::ViewRequest:
       return ViewRequest{internal::unsignedOf(Document.at(1)),
-                         internal::unsignedOf(Document.at(2)),
-                         internal::unsignedOf(Document.at(3))};
+                         internal::positionOf(Document.at(2)),
+                         internal::positionOf(Document.at(3))};
     case internal::Kind::ViewResponse:
       return ViewResponse{internal::unsignedOf(Document.at(1)),
                           internal::viewOf(Document.at(2)),
--- a/src/goldcrestnotch/notices/message.hpp
+++ b/src/goldcrestnotch/notices/message.hpp
@@ -13,6 +13,7 @@
 
 #include "goldcrestnotch/core/instant.hpp"
 #include "goldcrestnotch/quarantine/prompt_part.hpp"
+#include "goldcrestnotch/store/log.hpp"
 
 namespace goldcrestnotch::notices {
 
@@ -25,15 +26,15 @@
 
 /// @brief Asks another VM how current its copies of two partitions are.
 struct ViewRequest {
-  std::uint64_t Nonce = 0;       ///< Identifies the response.
-  std::uint64_t OperatorEnd = 0; ///< Known end of the operator's partition.
-  std::uint64_t TargetsEnd = 0;  ///< Known end of the targets' partition.
+  std::uint64_t Nonce = 0;     ///< Identifies the response.
+  store::Position OperatorEnd; ///< Known end of the operator's partition.
+  store::Position TargetsEnd;  ///< Known end of the targets' partition.
 };
 
 /// @brief What a VM knows about one partition.
 struct PartitionView {
-  std::uint64_t End = 0; ///< The newest known offset plus one.
-  Millis ProofAge{0};    ///< Time since it knew all records of the store.
+  store::Position End; ///< The newest known position plus one.
+  Millis ProofAge{0};  ///< Time since it knew all records of the store.
 };
 
 /// @brief Response to a `ViewRequest`.
--- a/src/goldcrestnotch/notices/view_exchange.cpp
+++ b/src/goldcrestnotch/notices/view_exchange.cpp
@@ -134,7 +134,8 @@
   }
   // A complete list of the targets that left is as good as the records.
   TargetList.observeOther(Sent - Response.Targets.ProofAge,
-                          Response.Complete ? 0 : Response.Targets.End);
+                          Response.Complete ? store::Position{}
+                                            : Response.Targets.End);
 }
 
 } // namespace goldcrestnotch::notices
--- a/src/goldcrestnotch/notices/view_exchange.hpp
+++ b/src/goldcrestnotch/notices/view_exchange.hpp
@@ -20,8 +20,8 @@
 
 /// @brief What this VM has of a partition.
 struct OwnView {
-  Instant ProvenAt{};    ///< All records of that time are known.
-  std::uint64_t End = 0; ///< The newest known offset plus one.
+  Instant ProvenAt{};  ///< All records of that time are known.
+  store::Position End; ///< The newest known position plus one.
 };
 
 /// @brief Names of targets whose records say that no request may go there.
@@ -34,8 +34,8 @@
 struct ViewSources {
   std::function<OwnView()> Operator;
   std::function<OwnView()> Targets;
-  /// Returns the targets that left at or after an offset.
-  std::function<DepartedTargets(std::uint64_t)> DepartedSince;
+  /// Returns the targets that left at or after a position.
+  std::function<DepartedTargets(store::Position)> DepartedSince;
   /// Takes the name of a target that another VM knows to be deleted.
   std::function<void(const TargetId &)> OnDeleted;
 };
--- a/src/goldcrestnotch/roster/roster.hpp
+++ b/src/goldcrestnotch/roster/roster.hpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -148,12 +149,17 @@
   /// @param Vm The VM's address.
   void observe(Instant Now, const std::string &Vm, const MemberRecord &Record) {
     auto &Entry = Members[Vm];
-    const bool Newer = Entry.Record.Incarnation != Record.Incarnation ||
-                       Record.Sequence > Entry.Record.Sequence;
-    if (!Newer) {
+    const bool SameProcess = Entry.Record.Incarnation == Record.Incarnation;
+    if (SameProcess ? Record.Sequence <= Entry.Record.Sequence
+                    : Entry.Ended.contains(Record.Incarnation)) {
       return;
     }
-    Entry = {Record, Now + SilenceTimeout, Now};
+    if (!SameProcess) {
+      Entry.Ended.insert(Entry.Record.Incarnation);
+    }
+    Entry.Record = Record;
+    Entry.DownDeadline = Now + SilenceTimeout;
+    Entry.Observed = Now;
   }
   /// @brief Extends the deadlines of VMs that were up when the store became
   /// unreachable: while nothing can be read, silence does not mean down.
@@ -174,6 +180,9 @@
     MemberRecord Record;
     Instant DownDeadline{}; ///< Considered down from this time on.
     Instant Observed{};     ///< When the newest record arrived.
+    /// Incarnations before that of the record. A store that was restored from
+    /// an older copy may return their records.
+    std::set<std::string> Ended;
   };
 
   [[nodiscard]] static bool alive(Instant Now, const Member &Entry) noexcept {
--- a/src/goldcrestnotch/roster/roster_sync.hpp
+++ b/src/goldcrestnotch/roster/roster_sync.hpp
@@ -76,10 +76,11 @@
   void step(boost::asio::yield_context Yield, Instant Now,
             std::size_t ProposedPartitions) {
     Feed.poll(Yield, Millis{0});
-    if (PartitionCount == 0) {
-      proposePartitionCount(Yield, ProposedPartitions);
+    if (!Feed.value(LayoutKey)) {
+      proposePartitionCount(Yield, PartitionCount == 0 ? ProposedPartitions
+                                                       : PartitionCount);
     }
-    if (Now < HeartbeatDeadline) {
+    if (Now < HeartbeatDeadline && Feed.value(Vm)) {
       return;
     }
     ++Self.Sequence;
@@ -87,20 +88,23 @@
     // an immediate second write.
     HeartbeatDeadline = Now + heartbeatInterval(Vms.liveCount(Now));
     store::Record Record{0, Vm, encode(Self)};
-    Record.Offset = Store.put(Yield, Feed.partition(), {Record});
+    const auto Written = Store.put(Yield, Feed.partition(), {Record});
+    Record.Offset = Written.Offset;
+    Record.Era = Written.Era;
     Feed.apply(Record); // Lets the feed pass it on to a VM that is starting.
   }
 
 private:
-  /// @brief Writes the partition count on the condition that nobody has written
-  /// since the last read.
+  /// @brief Writes the partition count, for the first time or because a
+  /// restored store lacks it, on the condition that nobody has written since
+  /// the last read.
   void proposePartitionCount(boost::asio::yield_context Yield,
                              std::size_t Proposed) {
     const store::Record Record{Feed.nextOffset(), LayoutKey,
-                               std::to_string(Proposed)};
+                               std::to_string(Proposed), Feed.era()};
     const auto Result =
         Store.append(Yield, Feed.partition(), Record.Offset, {Record});
-    if (Result.Appended) {
+    if (Result.Appended && Result.Era == Record.Era) {
       Feed.apply(Record);
     }
   }
@@ -111,6 +115,9 @@
       return;
     }
     if (Update.Key == LayoutKey) {
+      if (PartitionCount != 0) {
+        return; // A restored store contains it again.
+      }
       PartitionCount = std::strtoull(Update.Value->c_str(), nullptr, 10);
       log(LogLevel::Info, "escrow.layout",
           {{"partitions", static_cast<std::int64_t>(PartitionCount)}});
--- a/src/goldcrestnotch/store/keyed_feed.hpp
+++ b/src/goldcrestnotch/store/keyed_feed.hpp
@@ -1,7 +1,8 @@
 /// @file
 /// Follows a partition of keyed records and keeps the newest record of each
-/// key. Records may also arrive from another VM; their offsets tell which is
-/// newer.
+/// key. Records may also arrive from another VM; their positions tell which is
+/// newer. When the store was restored from an older copy, the partition is read
+/// again from its beginning.
 
 #pragma once
 
@@ -9,11 +10,13 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "goldcrestnotch/store/log.hpp"
+#include "goldcrestnotch/telemetry/log.hpp"
 
 namespace goldcrestnotch::store {
 
@@ -21,20 +24,30 @@
 /// @tparam Log The adapter that reads from the store.
 template <KeyedLog Log> class KeyedFeed {
 public:
-  /// Called for each record that is newer than the known one of its key.
+  /// Called for each record that is newer than the known one of its key. After
+  /// a restore of the store the content may be older than that of an earlier
+  /// era; the handler decides by the content.
   using RecordHandler = std::function<void(const Record &)>;
+  /// Called with each key that a restored store does not contain any more.
+  using LossHandler = std::function<void(const std::string &)>;
 
   KeyedFeed(Log &Source, Partition Followed, RecordHandler OnRecord)
       : Source{Source}, Followed{std::move(Followed)}, OnRecord{std::move(
                                                            OnRecord)} {}
 
+  /// @brief Sets what happens to keys that a restored store has lost.
+  void setLossHandler(LossHandler Handler) { OnLost = std::move(Handler); }
+
   [[nodiscard]] const Partition &partition() const noexcept { return Followed; }
   /// @brief Whether the whole partition has been read once.
   [[nodiscard]] bool loaded() const noexcept { return Loaded; }
+  /// @brief The era of the store that the known records belong to.
+  [[nodiscard]] std::uint64_t era() const noexcept { return Era; }
   /// @brief The offset at which the next read from the store begins.
   [[nodiscard]] std::uint64_t nextOffset() const noexcept { return NextOffset; }
-  /// @brief The newest known offset plus one, from the store or from other VMs.
-  [[nodiscard]] std::uint64_t knownEnd() const noexcept { return KnownEnd; }
+  /// @brief The newest known position plus one, from the store or from other
+  /// VMs.
+  [[nodiscard]] Position knownEnd() const noexcept { return {Era, KnownEnd}; }
   /// @brief All records that the store had at this time are known; the epoch
   /// if no read has reached the end of the partition yet.
   [[nodiscard]] Instant provenAt() const noexcept { return ProvenAt; }
@@ -44,11 +57,11 @@
     const auto It = Newest.find(Key);
     return It == Newest.end() ? std::nullopt : It->second.Value;
   }
-  /// @brief The newest records of all keys from an offset on, for another VM.
-  [[nodiscard]] std::vector<Record> recordsSince(std::uint64_t Offset) const {
+  /// @brief The newest records of all keys from a position on, for another VM.
+  [[nodiscard]] std::vector<Record> recordsSince(Position From) const {
     std::vector<Record> Result;
     for (const auto &[Key, Latest] : Newest) {
-      if (Latest.Offset >= Offset) {
+      if (Position{Latest.Era, Latest.Offset} >= From) {
         Result.push_back(Latest);
       }
     }
@@ -66,7 +79,10 @@
     }
     const auto Begin = DecisionClock::now();
     auto Result = Source.read(Yield, Followed, NextOffset, Wait);
-    if (Result.Trimmed) {
+    if (Result.Era != Era) {
+      switchEra(Result.Era);
+    }
+    if (Result.Trimmed || !Loaded) {
       load(Yield);
       return;
     }
@@ -87,8 +103,18 @@
     }
   }
 
+  /// @brief Forgets all positions if the store is in a later era than known.
+  void enterEra(std::uint64_t Current) {
+    if (Current > Era) {
+      switchEra(Current);
+    }
+  }
   /// @brief Applies a record if it is newer than the known one of its key.
   void apply(const Record &Update) {
+    if (Update.Era < Era) {
+      return;
+    }
+    enterEra(Update.Era);
     const auto [It, Inserted] = Newest.try_emplace(Update.Key, Update);
     if (!Inserted) {
       if (Update.Offset <= It->second.Offset) {
@@ -101,6 +127,28 @@
   }
 
 private:
+  /// @brief Forgets all positions. The store's word counts, even if another VM
+  /// has claimed a later era.
+  void switchEra(std::uint64_t Current) {
+    if (!Newest.empty()) {
+      log(LogLevel::Warn, "store.restored",
+          {{"topic", Followed.Topic},
+           {"part", static_cast<std::int64_t>(Followed.Number)},
+           {"era", static_cast<std::int64_t>(Current)},
+           {"known_end", static_cast<std::int64_t>(KnownEnd)}});
+    }
+    for (const auto &[Key, Latest] : Newest) {
+      if (Latest.Value) {
+        KeysBefore.insert(Key);
+      }
+    }
+    Newest.clear();
+    NextOffset = 0;
+    KnownEnd = 0;
+    Loaded = false;
+    Era = Current;
+  }
+
   /// @brief Reads the newest record of each key, page by page.
   void load(boost::asio::yield_context Yield) {
     const auto Begin = DecisionClock::now();
@@ -109,6 +157,12 @@
     std::uint64_t LoadEnd = 0;
     for (bool First = true, More = true; More; First = false) {
       auto Page = Source.newest(Yield, Followed, AfterKey);
+      if (Page.Era != Era) {
+        switchEra(Page.Era);
+        if (!First) {
+          return; // The pages before belong to another era; not loaded yet.
+        }
+      }
       // Later pages may miss changes to keys of earlier ones, so reading goes
       // on from the end as of the first page.
       LoadEnd = First ? Page.End : LoadEnd;
@@ -123,6 +177,16 @@
     NextOffset = std::max(NextOffset, LoadEnd);
     ProvenAt = std::max(ProvenAt, Begin);
     Loaded = true;
+    reportLost();
+  }
+
+  /// @brief Reports the keys of earlier eras that are absent from this one.
+  void reportLost() {
+    for (const auto &Key : std::exchange(KeysBefore, {})) {
+      if (OnLost && !Newest.contains(Key)) {
+        OnLost(Key);
+      }
+    }
   }
 
   /// @brief Deletes the keys that a load did not return although their records
@@ -132,7 +196,7 @@
     std::vector<Record> Deletions;
     for (const auto &[Key, Latest] : Newest) {
       if (Latest.Value && !Present.contains(Key) && Latest.Offset < LoadEnd) {
-        Deletions.push_back({LoadEnd - 1, Key, std::nullopt});
+        Deletions.push_back({LoadEnd - 1, Key, std::nullopt, Era});
       }
     }
     for (auto &Deletion : Deletions) {
@@ -145,7 +209,11 @@
   Log &Source;
   Partition Followed;
   RecordHandler OnRecord;
-  std::map<std::string, Record> Newest;
+  LossHandler OnLost;
+  std::uint64_t Era = 0;
+  std::map<std::string, Record> Newest; ///< All of the current era.
+  /// Keys with a value before the current era, until it has been read.
+  std::set<std::string> KeysBefore;
   std::uint64_t NextOffset = 0;
   std::uint64_t KnownEnd = 0;
   Instant ProvenAt{};
--- a/src/goldcrestnotch/store/log.hpp
+++ b/src/goldcrestnotch/store/log.hpp
@@ -24,11 +24,24 @@
   std::uint32_t Number = 0;
 };
 
+/// @brief The place of a record in a partition.
+///
+/// The store begins a new era when it was restored from an older copy: records
+/// are lost, and their offsets are given out again. Offsets of different eras
+/// therefore can't be compared; a position of a later era is the newer one.
+struct Position {
+  std::uint64_t Era = 0; ///< Zero if the store states none.
+  std::uint64_t Offset = 0;
+
+  auto operator<=>(const Position &) const = default;
+};
+
 /// @brief A keyed record.
 struct Record {
   std::uint64_t Offset = 0;
   std::string Key;
   std::optional<std::string> Value; ///< Absent if the key is deleted.
+  std::uint64_t Era = 0;            ///< Era of the offset; see `Position`.
 };
 
 /// @brief The records from an offset on.
@@ -38,6 +51,7 @@
   std::uint64_t Next = 0; ///< Offset of the next read.
   std::uint64_t End = 0;  ///< End of the partition at the time of the read.
   std::vector<Record> Records;
+  std::uint64_t Era = 0; ///< Era of all offsets above.
 };
 
 /// @brief One page of the newest records of all keys.
@@ -45,12 +59,16 @@
   std::uint64_t End = 0; ///< End of the partition at the time of the page.
   bool More = false;     ///< Further pages follow.
   std::vector<Record> Records;
+  std::uint64_t Era = 0; ///< Era of all offsets above.
 };
 
 /// @brief The result of a conditional append.
 struct AppendResult {
   bool Appended = false; ///< The condition held and the records were written.
   std::uint64_t End = 0; ///< End of the partition.
+  /// Era in which the call took effect. If it is not that of the condition, the
+  /// condition held by chance.
+  std::uint64_t Era = 0;
 };
 
 /// @brief A call to the store that got no usable answer.
@@ -82,12 +100,12 @@
 };
 
 /// @brief A log that also appends records unconditionally. `put` returns the
-/// offset of the first one.
+/// position of the first one.
 template <typename Type>
 concept UnconditionalLog = KeyedLog<Type> &&
     requires(Type &Log, boost::asio::yield_context Yield, const Partition &To,
              const std::vector<Record> &Records) {
-  { Log.put(Yield, To, Records) } -> std::same_as<std::uint64_t>;
+  { Log.put(Yield, To, Records) } -> std::same_as<Position>;
 };
 
 /// @brief The times of the store's last answer to this VM and of the last
--- a/src/goldcrestnotch/store/view_freshness.hpp
+++ b/src/goldcrestnotch/store/view_freshness.hpp
@@ -4,10 +4,9 @@
 
 #pragma once
 
-#include <algorithm>
-#include <cstdint>
-
 #include "goldcrestnotch/core/instant.hpp"
+#include "goldcrestnotch/store/log.hpp"
+#include <algorithm>
 
 namespace goldcrestnotch::store {
 
@@ -37,8 +36,8 @@
   void update(Millis NewMaxAge) noexcept { MaxAge = NewMaxAge; }
   /// @brief Records what this VM has.
   /// @param When All records that the store had then are known.
-  /// @param End The newest known offset plus one.
-  void observeOwn(Instant When, std::uint64_t End) noexcept {
+  /// @param End The newest known position plus one.
+  void observeOwn(Instant When, Position End) noexcept {
     ProvenAt = std::max(ProvenAt, When);
     OwnEnd = std::max(OwnEnd, End);
     if (!behind()) {
@@ -47,8 +46,8 @@
   }
   /// @brief Records what another VM has.
   /// @param When All records that the store had then are known to it.
-  /// @param End The newest offset that it knows plus one.
-  void observeOther(Instant When, std::uint64_t End) noexcept {
+  /// @param End The newest position that it knows plus one.
+  void observeOther(Instant When, Position End) noexcept {
     // The newest proof counts and not the greatest end, so that a wrong report
     // is corrected by the next one.
     if (When >= OthersProvenAt) {
@@ -63,9 +62,9 @@
 private:
   Millis MaxAge;
   Instant ProvenAt{}; ///< All records of that time are known to this VM.
-  std::uint64_t OwnEnd = 0;
+  Position OwnEnd;
   /// The report of another VM with the newest proof.
-  std::uint64_t OthersEnd = 0;
+  Position OthersEnd;
   Instant OthersProvenAt{};
 };
 
--- a/standin/users_replica.cpp
+++ b/standin/users_replica.cpp
@@ -52,7 +52,7 @@
   return json{{"service", Service},   {"address", Address.str()},
               {"zone", "zone-a"},     {"version", Version},
               {"capacity", 8},        {"state", State},
-              {"coldLeftMs", 0},      {"sequence", 1},
+              {"coldLeftMs", 0},      {"sequence", ++Entries},
               {"born", BornMs.load()}}
       .dump();
 }
--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -114,6 +114,7 @@
   std::atomic<std::uint64_t> EndlessBytes{0};
   std::atomic<std::uint64_t> Received{0};
   std::atomic<std::uint64_t> BornMs{1'700'000'000'000};
+  mutable std::atomic<std::uint64_t> Entries{0}; ///< Registry records built.
   mutable std::mutex Mutex;
   goldcrestnotch::http::Headers LastHeaders; ///< Guarded by `Mutex`.
   std::map<std::string, int> RunsByAttempt;  ///< Guarded by `Mutex`.
--- a/standin/users_store.cpp
+++ b/standin/users_store.cpp
@@ -84,6 +84,24 @@
                      const std::optional<std::string> &Value) {
   const std::lock_guard Lock{Mutex};
   appendRecord(Topics[Topic], {Key, Value});
+  PutSinceCopy[{Topic, Key}] = Value;
+}
+
+void UsersStore::takeCopy() {
+  const std::lock_guard Lock{Mutex};
+  Copy = Topics;
+  PutSinceCopy.clear();
+}
+
+void UsersStore::restore() {
+  const std::lock_guard Lock{Mutex};
+  Topics = Copy;
+  for (const auto &[Place, Value] : PutSinceCopy) {
+    if (Value) {
+      appendRecord(Topics[Place.first], {Place.second, Value});
+    }
+  }
+  ++Era;
 }
 
 void UsersStore::compact(const std::string &Topic) {
@@ -96,9 +114,14 @@
   Log.Records.push_back(std::move(Entry));
 }
 
+void UsersStore::reply(Exchange &HttpExchange, Response Answer) const {
+  Answer.Fields["Store-Era"] = std::to_string(Era);
+  HttpExchange.reply(Answer);
+}
+
 void UsersStore::handle(Exchange &HttpExchange) {
   if (Down) {
-    HttpExchange.reply(answer({{"error", "down"}}, 503));
+    reply(HttpExchange, answer({{"error", "down"}}, 503));
     return;
   }
   const auto &Path = HttpExchange.request().Path;
@@ -109,17 +132,19 @@
   } else if (Path == "/api/log-newest") {
     newest(HttpExchange);
   } else {
-    HttpExchange.reply(answer({{"error", "not found"}}, 404));
+    reply(HttpExchange, answer({{"error", "not found"}}, 404));
   }
 }
 
 void UsersStore::append(Exchange &HttpExchange) {
   const auto &Request = HttpExchange.request();
   int Status = 200;
+  std::uint64_t FirstOffset = 0;
   std::uint64_t EndOffset = 0;
   {
     const std::lock_guard Lock{Mutex};
     auto &Log = Topics[Request.parameter("topic")];
+    FirstOffset = Log.Records.size();
     const auto Condition = Request.parameter("at");
     if (!Condition.empty() && parseNumber(Condition) != Log.Records.size()) {
       Status = 412;
@@ -143,8 +168,8 @@
   if (LoseAnswers) {
     loseConnection();
   }
-  HttpExchange.reply(
-      answer({{"offset", EndOffset}, {"endOffset", EndOffset}}, Status));
+  reply(HttpExchange,
+        answer({{"offset", FirstOffset}, {"endOffset", EndOffset}}, Status));
 }
 
 void UsersStore::read(Exchange &HttpExchange) {
@@ -159,7 +184,7 @@
     // The lock must not be held while the response is written.
     if (const auto Answer = page(Request.parameter("topic"), From, MaxBytes,
                                  DecisionClock::now() >= Deadline)) {
-      HttpExchange.reply(*Answer);
+      reply(HttpExchange, *Answer);
       return;
     }
     sleep(HttpExchange, ReadPollInterval);
@@ -174,7 +199,7 @@
                                          std::size_t MaxBytes, bool TimedOut) {
   const std::lock_guard Lock{Mutex};
   const auto &Log = Topics[Name];
-  if (From < Log.FirstOffset) {
+  if (From < Log.FirstOffset || From > Log.Records.size()) {
     return answer({{"firstOffset", Log.FirstOffset}}, 410);
   }
   if (From >= Log.Records.size() && !TimedOut) {
@@ -205,7 +230,8 @@
       }
     }
   }
-  HttpExchange.reply(
+  reply(
+      HttpExchange,
       answer({{"items", Items}, {"hasMore", false}, {"endOffset", EndOffset}}));
 }
 
--- a/standin/users_store.hpp
+++ b/standin/users_store.hpp
@@ -10,6 +10,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -38,6 +39,13 @@
   /// of each key remains available through `/api/log-newest`.
   void compact(const std::string &Topic);
 
+  /// @brief Takes a copy, to which `restore` goes back.
+  void takeCopy();
+  /// @brief Begins a new era with the copy. Records that daemons have appended
+  /// since are lost. Of those that `put` wrote, the newest of each key is
+  /// written again, but for deleted keys: their writers are gone.
+  void restore();
+
   /// Respond 503 to every call.
   std::atomic<bool> Down{false};
   /// Apply appends, but send no response.
@@ -55,6 +63,9 @@
   };
 
   void handle(goldcrestnotch::http::Exchange &HttpExchange);
+  /// @brief Sends a response that states the era.
+  void reply(goldcrestnotch::http::Exchange &HttpExchange,
+             goldcrestnotch::http::Response Answer) const;
   void append(goldcrestnotch::http::Exchange &HttpExchange);
   void read(goldcrestnotch::http::Exchange &HttpExchange);
   void newest(goldcrestnotch::http::Exchange &HttpExchange);
@@ -68,6 +79,12 @@
 
   mutable std::mutex Mutex;
   std::map<std::string, Topic> Topics; ///< Guarded by `Mutex`.
+  std::map<std::string, Topic> Copy;   ///< Guarded by `Mutex`.
+  /// The newest values that `put` wrote since the copy, by topic and key;
+  /// guarded by `Mutex`.
+  std::map<std::pair<std::string, std::string>, std::optional<std::string>>
+      PutSinceCopy;
+  std::atomic<std::uint64_t> Era{1};
   goldcrestnotch::http::Server Listener;
 };
 
--- a/test/fuzz/decoders_test.cpp
+++ b/test/fuzz/decoders_test.cpp
@@ -150,9 +150,9 @@
 
 TEST(Fuzz, Notices) {
   const notices::Message Inputs[] = {
-      notices::ViewRequest{7, 8, 9},
+      notices::ViewRequest{7, {2, 8}, {0, 9}},
       notices::ViewResponse{
-          7, {8, Millis{9}}, {10, Millis{11}}, {1, 2}, {3}, true},
+          7, {{2, 8}, Millis{9}}, {{0, 10}, Millis{11}}, {1, 2}, {3}, true},
       notices::CrashNotice{{7, 8}, {{9}, {10}}, Millis{11}},
       notices::ClearanceNotice{{{9}}}};
   for (const auto &Input : Inputs) {
--- a/test/goldcrestnotch/backend/target_set_test.cpp
+++ b/test/goldcrestnotch/backend/target_set_test.cpp
@@ -209,5 +209,31 @@
   EXPECT_NE(pick(Start, Request), First);
 }
 
+TEST_F(TargetSetTest, OlderEntryOfTheSameRunIsIgnored) {
+  auto Leaving = registration("a", true);
+  Leaving.Sequence = 7;
+  Targets.apply(Leaving);
+  auto Older = registration("a");
+  Older.Sequence = 6;
+  Targets.apply(Older);
+  EXPECT_TRUE(Targets.find(TargetId{"a"})->leaving());
+  Older.Incarnation = 2; // Restarted; its count begins anew.
+  Targets.apply(Older);
+  EXPECT_FALSE(Targets.find(TargetId{"a"})->leaving());
+}
+
+TEST_F(TargetSetTest, OldEntryDoesNotBringARemovedTargetBack) {
+  auto Entry = registration("a");
+  Entry.Sequence = 7;
+  Targets.apply(Entry);
+  Targets.markMissing(Start, TargetId{"a"}, false);
+  Targets.expire(Start + Millis{60'000});
+  Targets.apply(Entry);
+  EXPECT_FALSE(Targets.find(TargetId{"a"}));
+  Entry.Sequence = 8;
+  Targets.apply(Entry);
+  EXPECT_TRUE(Targets.find(TargetId{"a"}));
+}
+
 } // namespace
 } // namespace goldcrestnotch::backend
--- a/test/goldcrestnotch/notices/message_test.cpp
+++ b/test/goldcrestnotch/notices/message_test.cpp
@@ -14,21 +14,21 @@
 }
 
 TEST(NoticeMessage, RequestKeepsItsFields) {
-  const auto Result = decoded(encode(ViewRequest{7, 8, 9}));
+  const auto Result = decoded(encode(ViewRequest{7, {2, 8}, {0, 9}}));
   ASSERT_TRUE(Result && std::holds_alternative<ViewRequest>(*Result));
   const auto &Request = std::get<ViewRequest>(*Result);
   EXPECT_EQ(Request.Nonce, 7U);
-  EXPECT_EQ(Request.OperatorEnd, 8U);
-  EXPECT_EQ(Request.TargetsEnd, 9U);
+  EXPECT_EQ(Request.OperatorEnd, (store::Position{2, 8}));
+  EXPECT_EQ(Request.TargetsEnd, (store::Position{0, 9}));
 }
 
 TEST(NoticeMessage, ResponseKeepsItsFields) {
-  const ViewResponse Source{7,   {8, Millis{9}}, {10, Millis{11}},
-                            {1}, {2, 3},         false};
+  const ViewResponse Source{
+      7, {{2, 8}, Millis{9}}, {{0, 10}, Millis{11}}, {1}, {2, 3}, false};
   const auto Result = decoded(encode(Source));
   ASSERT_TRUE(Result && std::holds_alternative<ViewResponse>(*Result));
   const auto &Response = std::get<ViewResponse>(*Result);
-  EXPECT_EQ(Response.Operator.End, 8U);
+  EXPECT_EQ(Response.Operator.End, (store::Position{2, 8}));
   EXPECT_EQ(Response.Operator.ProofAge, Millis{9});
   EXPECT_EQ(Response.Targets.ProofAge, Millis{11});
   EXPECT_EQ(Response.Leaving, Source.Leaving);
@@ -67,7 +67,7 @@
 TEST(NoticeMessage, MalformedBytesAreNoMessage) {
   EXPECT_FALSE(decoded(""));
   EXPECT_FALSE(decoded("\x9f\x9f\x9f"));
-  auto Bytes = encode(ViewRequest{7, 8, 9});
+  auto Bytes = encode(ViewRequest{7, {2, 8}, {0, 9}});
   Bytes.pop_back();
   EXPECT_FALSE(decoded(Bytes));
 }
--- a/test/goldcrestnotch/notices/view_exchange_test.cpp
+++ b/test/goldcrestnotch/notices/view_exchange_test.cpp
@@ -19,8 +19,9 @@
         Views{Socket,
               Targets,
               {[this] { return Operator; }, [this] { return TargetList; },
-               [this](std::uint64_t Offset) {
-                 return Offset < TargetList.End ? Departed : DepartedTargets{};
+               [this](store::Position Position) {
+                 return Position < TargetList.End ? Departed
+                                                  : DepartedTargets{};
                },
                [](const TargetId &) {}},
               MaxAge,
@@ -55,8 +56,8 @@
   ViewExchangeTest() {
     Slow.Socket.updatePeers({"127.0.0.2"});
     const auto Now = DecisionClock::now();
-    Slow.Operator = Slow.TargetList = {Now - MaxAge * 2, 5};
-    Current.Operator = Current.TargetList = {Now, 5};
+    Slow.Operator = Slow.TargetList = {Now - MaxAge * 2, {0, 5}};
+    Current.Operator = Current.TargetList = {Now, {0, 5}};
   }
 
   void askOthers() {
@@ -75,21 +76,21 @@
 TEST_F(ViewExchangeTest, ViewIsCurrentIfAnotherVmHasNothingNewer) {
   askOthers();
   EXPECT_FALSE(outdated());
-  Current.Operator.End = 6; // A record that is newer than the proof.
+  Current.Operator.End.Offset = 6; // A record that is newer than the proof.
   askOthers();
   EXPECT_FALSE(outdated());
 }
 
 TEST_F(ViewExchangeTest, ViewIsOutdatedIfAnotherVmHasANewerConfiguration) {
-  Current.Operator.End = 6;
+  Current.Operator.End.Offset = 6;
   askOthers();
   EXPECT_TRUE(outdated());
-  Slow.Operator.End = 6;
+  Slow.Operator.End.Offset = 6;
   EXPECT_FALSE(outdated());
 }
 
 TEST_F(ViewExchangeTest, TargetThatLeftIsLearnedFromAnotherVm) {
-  Current.TargetList.End = 6;
+  Current.TargetList.End.Offset = 6;
   Current.Departed.Leaving = {Left};
   askOthers();
   EXPECT_TRUE(Slow.Targets.find(Left)->leaving());
@@ -97,7 +98,7 @@
 }
 
 TEST_F(ViewExchangeTest, MoreTargetsThanAMessageHoldsProveNothing) {
-  Current.TargetList.End = 100;
+  Current.TargetList.End.Offset = 100;
   Current.Departed.Leaving.assign(MaxTargets + 1, Left);
   askOthers();
   EXPECT_TRUE(outdated());
--- a/test/goldcrestnotch/roster/roster_test.cpp
+++ b/test/goldcrestnotch/roster/roster_test.cpp
@@ -44,6 +44,16 @@
   EXPECT_TRUE(Vms.callerAddresses(Start + SilenceTimeout).empty());
 }
 
+TEST(Roster, RecordOfAnEndedProcessDoesNotReturn) {
+  Roster Vms{SilenceTimeout};
+  Vms.observe(Start, FirstVm, record(8));
+  auto Restarted = record(1, true);
+  Restarted.Incarnation = "b";
+  Vms.observe(Start, FirstVm, Restarted);
+  Vms.observe(Start, FirstVm, record(9));
+  EXPECT_TRUE(Vms.callerAddresses(Start).empty());
+}
+
 TEST(Roster, NobodyIsDownWhileNothingCanBeRead) {
   Roster Vms{SilenceTimeout};
   Vms.observe(Start, FirstVm, record(1));
--- a/test/goldcrestnotch/store/keyed_feed_test.cpp
+++ b/test/goldcrestnotch/store/keyed_feed_test.cpp
@@ -18,6 +18,11 @@
                   std::uint64_t Offset, Millis) {
     ++Reads;
     ReadResult Result;
+    Result.Era = Era;
+    Result.Trimmed = Offset > Records.size();
+    if (Result.Trimmed) {
+      return Result;
+    }
     Result.End = Records.size();
     Result.Next = std::min<std::uint64_t>(Offset + MaxRecords, Result.End);
     for (auto I = Offset; I < Result.Next; ++I) {
@@ -33,6 +38,7 @@
       Newest[Entry.Key] = Entry;
     }
     NewestResult Result;
+    Result.Era = Era;
     Result.End = Records.size();
     for (const auto &[Key, Entry] : Newest) {
       Result.Records.push_back(Entry);
@@ -44,10 +50,19 @@
     return {};
   }
   void put(const std::string &Key, const std::string &Value) {
-    Records.push_back({Records.size(), Key, Value});
+    Records.push_back({Records.size(), Key, Value, Era});
+  }
+  /// @brief Loses the records after the first ones.
+  void restore(std::size_t Count) {
+    Records.resize(Count);
+    ++Era;
+    for (auto &Entry : Records) {
+      Entry.Era = Era;
+    }
   }
 
   std::vector<Record> Records;
+  std::uint64_t Era = 1;
   std::uint64_t MaxRecords = 4;
   int Reads = 0;
   int Loads = 0;
@@ -120,5 +135,66 @@
   EXPECT_EQ(Followed.Feed.value("a"), "1");
 }
 
+TEST(KeyedFeed, RecordsOfARestoredLogAreReadThoughTheirOffsetsAreLower) {
+  FollowedLog Followed;
+  for (int I = 0; I < 10; ++I) {
+    Followed.Log.put("a", std::to_string(I));
+  }
+  Followed.poll();
+  Followed.Log.restore(2);
+  Followed.Log.put("a", "new");
+  Followed.poll();
+  EXPECT_EQ(Followed.Feed.value("a"), "new");
+  Followed.Log.put("a", "newer");
+  Followed.poll();
+  EXPECT_EQ(Followed.Feed.value("a"), "newer");
+  EXPECT_EQ(Followed.Feed.nextOffset(), 4U);
+}
+
+TEST(KeyedFeed, RestoredLogThatIsAsLongAgainIsReadFromItsBeginning) {
+  FollowedLog Followed;
+  Followed.Log.put("a", "1");
+  Followed.Log.put("b", "1");
+  Followed.poll();
+  Followed.Log.restore(0);
+  Followed.Log.put("b", "2");
+  Followed.Log.put("a", "2");
+  Followed.poll();
+  EXPECT_EQ(Followed.Feed.value("a"), "2");
+  EXPECT_EQ(Followed.Feed.value("b"), "2");
+}
+
+TEST(KeyedFeed, KeysThatARestoredLogLacksAreReported) {
+  FollowedLog Followed;
+  std::vector<std::string> Lost;
+  Followed.Feed.setLossHandler(
+      [&](const std::string &Key) { Lost.push_back(Key); });
+  Followed.Log.put("a", "1");
+  Followed.Log.put("b", "1");
+  Followed.poll();
+  Followed.Log.restore(1);
+  Followed.poll();
+  EXPECT_EQ(Lost, std::vector<std::string>{"b"});
+}
+
+TEST(KeyedFeed, RecordOfAnEarlierEraFromAnotherVmIsIgnored) {
+  FollowedLog Followed;
+  Followed.Log.put("a", "1");
+  Followed.Log.restore(1);
+  Followed.poll();
+  Followed.Feed.apply({9, "a", "old", 1});
+  EXPECT_EQ(Followed.Feed.value("a"), "1");
+}
+
+TEST(KeyedFeed, EraThatOnlyAnotherVmClaimsIsCorrectedByTheLog) {
+  FollowedLog Followed;
+  Followed.Log.put("a", "1");
+  Followed.poll();
+  Followed.Feed.apply({9, "a", "wrong", 1'000});
+  Followed.poll();
+  EXPECT_EQ(Followed.Feed.value("a"), "1");
+  EXPECT_TRUE(Followed.Feed.loaded());
+}
+
 } // namespace
 } // namespace goldcrestnotch::store
--- a/test/goldcrestnotch/store/view_freshness_test.cpp
+++ b/test/goldcrestnotch/store/view_freshness_test.cpp
@@ -13,52 +13,52 @@
 
 TEST(ViewFreshness, OldCopyServesWhileNobodyHasMore) {
   ViewFreshness View{MaxAge};
-  View.observeOwn(Start, 5);
-  View.observeOther(Start - MaxAge, 5);
+  View.observeOwn(Start, {0, 5});
+  View.observeOther(Start - MaxAge, {0, 5});
   EXPECT_FALSE(View.outdated(Start + MaxAge * 10));
 }
 
 TEST(ViewFreshness, CopyIsOutdatedOnceAnotherVmHasMoreAndItsProofIsOld) {
   ViewFreshness View{MaxAge};
-  View.observeOwn(Start, 5);
-  View.observeOther(Start + MaxAge / 2, 6);
+  View.observeOwn(Start, {0, 5});
+  View.observeOther(Start + MaxAge / 2, {0, 6});
   EXPECT_FALSE(View.outdated(Start + MaxAge));
   EXPECT_TRUE(View.outdated(Start + MaxAge + Millis{1}));
 }
 
 TEST(ViewFreshness, AnotherVmProvesThatNothingIsMissing) {
   ViewFreshness View{MaxAge};
-  View.observeOwn(Start, 5);
-  View.observeOther(Start + MaxAge, 5);
-  View.observeOther(Start + MaxAge + MaxAge / 2, 6);
+  View.observeOwn(Start, {0, 5});
+  View.observeOther(Start + MaxAge, {0, 5});
+  View.observeOther(Start + MaxAge + MaxAge / 2, {0, 6});
   EXPECT_FALSE(View.outdated(Start + MaxAge * 2));
   EXPECT_TRUE(View.outdated(Start + MaxAge * 2 + Millis{1}));
 }
 
 TEST(ViewFreshness, RecordsThatArriveAreProvenByTheVmThatHadThem) {
   ViewFreshness View{MaxAge};
-  View.observeOwn(Start, 5);
-  View.observeOther(Start + MaxAge, 6);
-  View.observeOwn(Start, 6);
+  View.observeOwn(Start, {0, 5});
+  View.observeOther(Start + MaxAge, {0, 6});
+  View.observeOwn(Start, {0, 6});
   EXPECT_FALSE(View.behind());
   EXPECT_EQ(View.age(Start + MaxAge), Millis{0});
 }
 
 TEST(ViewFreshness, ReportThatArrivesLateTakesNothingBack) {
   ViewFreshness View{MaxAge};
-  View.observeOwn(Start, 5);
-  View.observeOther(Start + MaxAge, 7);
-  View.observeOther(Start, 6);
-  View.observeOwn(Start, 6);
+  View.observeOwn(Start, {0, 5});
+  View.observeOther(Start + MaxAge, {0, 7});
+  View.observeOther(Start, {0, 6});
+  View.observeOwn(Start, {0, 6});
   EXPECT_TRUE(View.behind());
 }
 
 TEST(ViewFreshness, WrongReportIsCorrectedByTheNextOne) {
   ViewFreshness View{MaxAge};
-  View.observeOwn(Start, 5);
-  View.observeOther(Start + Millis{1}, UINT64_MAX);
+  View.observeOwn(Start, {0, 5});
+  View.observeOther(Start + Millis{1}, {0, UINT64_MAX});
   EXPECT_TRUE(View.outdated(Start + MaxAge * 2));
-  View.observeOther(Start + MaxAge, 5);
+  View.observeOther(Start + MaxAge, {0, 5});
   EXPECT_FALSE(View.outdated(Start + MaxAge * 2));
   EXPECT_FALSE(View.outdated(Start + MaxAge * 9));
 }
--- a/test/model/escrow_fleet_test.cpp
+++ b/test/model/escrow_fleet_test.cpp
@@ -42,6 +42,40 @@
   }
 }
 
+TEST(EscrowFleet, NeverOverspendsThroughRestoredLogs) {
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    EscrowSimulationSettings Settings;
+    Settings.Seed = Seed;
+    Settings.Rates = {0.05, 0.05, 0.05};
+    Settings.FreezePerStep = 0.0005;
+    Settings.LostLoanRate = 0.05;
+    Settings.RestorePerStep = 0.002;
+    EXPECT_EQ(simulateEscrow(Settings).MaxOverspend, 0) << "seed " << Seed;
+  }
+}
+
+TEST(EscrowFleet, ManyVmsNeverOverspendThroughRestoredLogs) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    auto Settings = manyVmsWithoutFaults(Seed);
+    Settings.Vms = 300;
+    Settings.RequestsPerStep = 0.01;
+    Settings.RestorePerStep = 0.002;
+    EXPECT_EQ(simulateEscrow(Settings).MaxOverspend, 0) << "seed " << Seed;
+  }
+}
+
+TEST(EscrowFleet, ServesAgainSoonAfterARestoredLog) {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    EscrowSimulationSettings Settings;
+    Settings.Seed = Seed;
+    Settings.Budget = 3'000'000;
+    Settings.RestorePerStep = 0.001;
+    const auto Result = simulateEscrow(Settings);
+    EXPECT_EQ(Result.MaxOverspend, 0) << "seed " << Seed;
+    EXPECT_LE(Result.FalseShortages, Result.Requests / 100) << "seed " << Seed;
+  }
+}
+
 TEST(EscrowFleet, ManyVmsBorrowFromTheHomes) {
   for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
     auto Settings = withFaults(Seed);
