A planned stop answers the requests that have not ended

Callers saw, at other operators: at the end of the grace requests were cut with no answer. Here requests are taken for a third of the grace only, also on open connections, so none that comes late is passed on (Platform.ShutdownTakesNothingThatMayNotEnd). But a request that lasted until the end was cut as well.

Cause: the loop was stopped while exchanges waited for their targets. Now the connections to the targets are closed before, and each exchange answers 504, since its request may have run; a stream that has begun ends broken.

Platform.ShutdownAnswersWhatHasNotEnded: no answer on, 504 with this change.

--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -329,7 +329,7 @@
 AttemptResult
 Exchange::attempt(const std::shared_ptr<backend::Target> &Target) {
   const auto Now = DecisionClock::now();
-  if (Now >= Deadline) {
+  if (Now >= Deadline || Context.Ending) {
     return AttemptResult::DeadlineExceeded;
   }
   auto Connection = Context.Connections.acquire(Now, Target->Registered);
@@ -378,8 +378,14 @@
   EvidenceRecorded = false;
   AnswerRecorded = false;
   Remote.send(Deadline);
-  const auto Result = receiveResponse(Remote);
+  Context.Active.insert(Connection);
+  auto Result = receiveResponse(Remote);
+  Context.Active.erase(Connection);
   Caller.unwatch();
+  if (Context.Ending && Result == AttemptResult::ResponseLost) {
+    Cause = "shutting_down";
+    Result = AttemptResult::DeadlineExceeded;
+  }
   Remote.release(Context.Connections);
   if (Result == AttemptResult::NotExecuted ||
       Result == AttemptResult::WrongTarget) {
--- a/src/goldcrestnotch/proxy/proxy_context.hpp
+++ b/src/goldcrestnotch/proxy/proxy_context.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 
 #include <boost/asio/io_context.hpp>
 
@@ -40,7 +41,10 @@
   std::shared_ptr<const routing::RouteTable> Table;
   /// The VM is shutting down; connections are closed after the current request.
   bool Draining = false;
-  bool Closing = false;       ///< New requests are refused; implies `Draining`.
+  bool Closing = false; ///< New requests are refused; implies `Draining`.
+  bool Ending = false;  ///< No attempt goes on; implies `Closing`.
+  /// Connections on which an attempt waits for its response.
+  std::set<std::shared_ptr<TargetConnection>> Active;
   std::size_t InProgress = 0; ///< Exchanges whose request has been read.
 
   /// The latest traffic shift of each service.
@@ -57,6 +61,15 @@
   LoopDelay Delay;
   std::mt19937_64 Random{std::random_device{}()};
 
+  /// @brief Ends all attempts, so that their callers are told before the
+  /// process ends.
+  void endAttempts() {
+    Ending = true;
+    for (const auto &Connection : Active) {
+      Connection->Socket.close();
+    }
+  }
+
   /// @brief Returns a uniformly distributed random number in [0, 1).
   [[nodiscard]] double draw() {
     return std::uniform_real_distribution<double>{0.0, 1.0}(Random);
