Test: a response whose head breaks off is no answer

Another operator's clients got 200 with an empty body when a target stopped in the middle of a head. It cannot happen here: the parser reports a partial message, and the exchange counts the response as lost.

The first test of a planned stop that answers what has not ended is in this commit too.

--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -7,6 +7,8 @@
 #include <csignal>
 #include <future>
 
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 namespace platform_test {
@@ -496,6 +498,90 @@
   EXPECT_EQ(Running.get().Body, CompleteStream);
 }
 
+TEST(Platform, ShutdownAnswersWhatHasNotEnded) {
+  Fleet TestFleet{1};
+  ASSERT_TRUE(TestFleet.waitUntilReady());
+  TestFleet.replica(0).EventDelayMs = 6'000; // Longer than the shutdown limit.
+  auto Running = std::async(std::launch::async, [&] {
+    auto Request = Chat;
+    Request.DeadlineMs = "9000";
+    return TestFleet.call(Request);
+  });
+  ASSERT_TRUE(TestFleet.eventually([&] { return TestFleet.runs() == 1; }));
+  TestFleet.daemon().signal(SIGTERM);
+  const auto Result = Running.get();
+  EXPECT_EQ(Result.Status, 504);
+  EXPECT_TRUE(Result.Complete);
+  EXPECT_EQ(TestFleet.daemon().wait(2'000), 0);
+}
+
+/// @brief A target that closes each connection in the middle of the head of its
+/// response.
+class BreakingTarget {
+public:
+  BreakingTarget()
+      : Acceptor{Loop, {boost::asio::ip::address_v4::loopback(), 0}} {
+    accept();
+    Thread = std::thread{[this] { Loop.run(); }};
+  }
+  ~BreakingTarget() {
+    Loop.stop();
+    Thread.join();
+  }
+  BreakingTarget(const BreakingTarget &) = delete;
+  BreakingTarget &operator=(const BreakingTarget &) = delete;
+
+  [[nodiscard]] std::uint16_t port() const {
+    return Acceptor.local_endpoint().port();
+  }
+
+private:
+  void accept() {
+    Acceptor.async_accept([this](const boost::system::error_code &Failure,
+                                 boost::asio::ip::tcp::socket Connection) {
+      if (Failure) {
+        return;
+      }
+      std::string Request;
+      boost::system::error_code Ignored;
+      boost::asio::read_until(Connection, boost::asio::dynamic_buffer(Request),
+                              "\r\n\r\n", Ignored);
+      const auto Begin = Request.find("X-Goldcrestnotch-Attempt-Id: ");
+      const auto Id =
+          Request.substr(Begin, Request.find("\r\n", Begin) - Begin);
+      boost::asio::write(
+          Connection,
+          boost::asio::buffer("HTTP/1.1 200 OK\r\n" + Id +
+                              "\r\nX-Goldcrestnotch-Replica-Signature: s\r\n"
+                              "Content-Length: 0\r\n"),
+          Ignored);
+      accept();
+    });
+  }
+
+  boost::asio::io_context Loop;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  std::thread Thread;
+};
+
+TEST(Platform, HeadThatBreaksOffIsNoAnswer) {
+  BreakingTarget Breaking;
+  Fleet TestFleet{1};
+  ASSERT_TRUE(TestFleet.waitUntilReady());
+  const auto Entry = TestFleet.replica(0).entry("engines", "ready");
+  TestFleet.Store.put("keyed.servers", "breaking",
+                      Entry.substr(0, Entry.size() - 1) +
+                          R"(,"address":"127.0.0.1:)" +
+                          std::to_string(Breaking.port()) + "\"}");
+  TestFleet.registerReplica(TestFleet.replica(0), "draining");
+  std::this_thread::sleep_for(std::chrono::milliseconds{1'000});
+  for (const auto &Request : {Chat, Order}) {
+    const auto Result = TestFleet.call(Request);
+    EXPECT_EQ(Result.Status, 502);
+    EXPECT_FALSE(Result.Fields.contains("X-Goldcrestnotch-Replica-Signature"));
+  }
+}
+
 TEST(Platform, DirectoryNamesTheVmsThatTakeCallers) {
   Fleet TestFleet{1, 2};
   const std::string Path =
