--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -77,6 +77,21 @@
 static constexpr std::size_t MaxBodyBytes = 4U << 20U;
 static constexpr std::string_view BearerPrefix = "Bearer ";
 
+/// @brief Lists a connection as active while an attempt waits for its response.
+class ActiveConnection {
+public:
+  ActiveConnection(ProxyContext &Context,
+                   const std::shared_ptr<TargetConnection> &Connection)
+      : Context{Context}, Position{Context.Active.insert(Connection).first} {}
+  ~ActiveConnection() { Context.Active.erase(Position); }
+  ActiveConnection(const ActiveConnection &) = delete;
+  ActiveConnection &operator=(const ActiveConnection &) = delete;
+
+private:
+  ProxyContext &Context;
+  std::set<std::shared_ptr<TargetConnection>>::iterator Position;
+};
+
 } // namespace internal
 
 Exchange::Exchange(ProxyContext &Context, CallerConnection &Caller,
@@ -378,9 +393,11 @@
   EvidenceRecorded = false;
   AnswerRecorded = false;
   Remote.send(Deadline);
-  Context.Active.insert(Connection);
-  auto Result = receiveResponse(Remote);
-  Context.Active.erase(Connection);
+  auto Result = AttemptResult::ResponseLost;
+  {
+    const internal::ActiveConnection Waiting{Context, Connection};
+    Result = receiveResponse(Remote);
+  }
   Caller.unwatch();
   if (Context.Ending && Result == AttemptResult::ResponseLost) {
     Cause = "shutting_down";
