A connection may be listed as active twice

Cause: a connection goes back to its pool as soon as the response has been read, while it is still passed on to the caller. The next exchange that took it found it listed, and both removed the one entry. The list now holds an entry for each exchange.

--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -82,14 +82,14 @@
 public:
   ActiveConnection(ProxyContext &Context,
                    const std::shared_ptr<TargetConnection> &Connection)
-      : Context{Context}, Position{Context.Active.insert(Connection).first} {}
+      : Context{Context}, Position{Context.Active.insert(Connection)} {}
   ~ActiveConnection() { Context.Active.erase(Position); }
   ActiveConnection(const ActiveConnection &) = delete;
   ActiveConnection &operator=(const ActiveConnection &) = delete;
 
 private:
   ProxyContext &Context;
-  std::set<std::shared_ptr<TargetConnection>>::iterator Position;
+  std::multiset<std::shared_ptr<TargetConnection>>::iterator Position;
 };
 
 } // namespace internal
--- a/src/goldcrestnotch/proxy/proxy_context.hpp
+++ b/src/goldcrestnotch/proxy/proxy_context.hpp
@@ -43,8 +43,9 @@
   bool Draining = false;
   bool Closing = false; ///< New requests are refused; implies `Draining`.
   bool Ending = false;  ///< No attempt goes on; implies `Closing`.
-  /// Connections on which an attempt waits for its response.
-  std::set<std::shared_ptr<TargetConnection>> Active;
+  /// Connections on which an attempt waits for its response. One may be listed
+  /// twice: it can be used again while the response before is still passed on.
+  std::multiset<std::shared_ptr<TargetConnection>> Active;
   std::size_t InProgress = 0; ///< Exchanges whose request has been read.
 
   /// The latest traffic shift of each service.
