--- a/review/common/deployment.cpp
+++ b/review/common/deployment.cpp
@@ -385,6 +385,14 @@
   }
 }
 
+std::size_t Daemon::residentBytes() const {
+  std::ifstream File{"/proc/" + std::to_string(Id) + "/statm"};
+  std::size_t Total = 0;
+  std::size_t Resident = 0;
+  File >> Total >> Resident;
+  return Resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 bool Daemon::ended(int TimeoutMs) {
   const auto Deadline = elapsedMs() + TimeoutMs;
   while (!Reaped) {
--- a/review/common/deployment.hpp
+++ b/review/common/deployment.hpp
@@ -143,6 +143,8 @@
   Daemon &operator=(const Daemon &) = delete;
 
   void signal(int Number) const;
+  /// @brief Resident memory in bytes; zero if the process has ended.
+  [[nodiscard]] std::size_t residentBytes() const;
   /// @brief Whether the process has ended within a time.
   [[nodiscard]] bool ended(int TimeoutMs);
 
