--- a/review/1/spoiled_stream.cpp
+++ b/review/1/spoiled_stream.cpp
@@ -223,6 +223,7 @@
     Play.Begin = review::elapsedMs();
     const auto Deadline = Play.Begin + RunMs;
     std::vector<std::thread> Threads;
+    Threads.reserve(Clients);
     for (int I = 0; I < Clients; ++I) {
       Threads.emplace_back([&, I] { Play.client(Fleet, I, Deadline); });
     }
--- a/review/3/endless_bytes.cpp
+++ b/review/3/endless_bytes.cpp
@@ -29,7 +29,7 @@
 constexpr std::int64_t FaultyMs = 6'500;
 constexpr std::int64_t FaultyIntervalMs = 10'000;
 /// `memoryMb` and `linkMbps` of a machine, as the settings file says.
-constexpr std::size_t MemoryBytes = 260U * 1'000'000U;
+constexpr std::size_t MemoryBytes = 260'000'000;
 constexpr std::size_t LinkBytesPerMs = 125'000;
 constexpr int WatchMs = 10;
 constexpr int RestartDelayMs = 300;
@@ -215,6 +215,7 @@
     review::pauseMs(3'000);
     Play.Begin = review::elapsedMs();
     std::vector<std::thread> Threads;
+    Threads.reserve(Clients);
     for (int I = 0; I < Clients; ++I) {
       Threads.emplace_back([&, I] { Play.client(I, Play.Begin + RunMs); });
     }
--- a/review/common/deployment.cpp
+++ b/review/common/deployment.cpp
@@ -206,7 +206,9 @@
 }
 
 void Socket::setTimeout(int Millis) const {
-  const timeval Limit{Millis / 1'000, (Millis % 1'000) * 1'000};
+  timeval Limit{};
+  Limit.tv_sec = Millis / 1'000;
+  Limit.tv_usec = static_cast<suseconds_t>(Millis % 1'000) * 1'000;
   ::setsockopt(Descriptor, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof Limit);
   ::setsockopt(Descriptor, SOL_SOCKET, SO_SNDTIMEO, &Limit, sizeof Limit);
 }
@@ -253,28 +255,44 @@
 Replica::Replica(std::string Name, std::string Service, std::string Address,
                  Handler OnRequest)
     : Name{std::move(Name)}, Service{std::move(Service)},
-      Address{std::move(Address)}, OnRequest{std::move(OnRequest)},
-      BornMs{std::chrono::duration_cast<std::chrono::milliseconds>(
-                 std::chrono::system_clock::now().time_since_epoch())
-                 .count()} {
-  Listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  auto Local = endpointOf(this->Address, 0);
+      Address{std::move(Address)}, OnRequest{std::move(OnRequest)} {
+  start();
+  Acceptor = std::thread{[this] { accept(); }};
+}
+
+void Replica::start() {
+  const int Opened = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int On = 1;
+  ::setsockopt(Opened, SOL_SOCKET, SO_REUSEADDR, &On, sizeof On);
+  auto Local = endpointOf(Address, Port);
   socklen_t Size = sizeof Local;
-  if (::bind(Listener, reinterpret_cast<const sockaddr *>(&Local), Size) != 0 ||
-      ::listen(Listener, 256) != 0 ||
-      ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Local), &Size) !=
-          0) {
+  if (::bind(Opened, reinterpret_cast<const sockaddr *>(&Local), Size) != 0 ||
+      ::listen(Opened, 256) != 0 ||
+      ::getsockname(Opened, reinterpret_cast<sockaddr *>(&Local), &Size) != 0) {
     throw std::runtime_error{"a replica cannot listen"};
   }
   Port = ntohs(Local.sin_port);
-  Acceptor = std::thread{[this] { accept(); }};
+  BornMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+               .count();
+  Entries = 0;
+  ++Boot;
+  Listener = Opened;
+}
+
+void Replica::crash() {
+  ++Boot;
+  const int Opened = Listener.exchange(-1);
+  if (Opened >= 0) {
+    ::shutdown(Opened, SHUT_RDWR);
+    ::close(Opened);
+  }
 }
 
 Replica::~Replica() {
   Ending = true;
-  ::shutdown(Listener, SHUT_RDWR);
+  crash();
   Acceptor.join();
-  ::close(Listener);
   std::vector<std::thread> Running;
   {
     const std::lock_guard Lock{Mutex};
@@ -292,7 +310,7 @@
   return R"({"service":")" + Service + R"(","address":")" + Address + ":" +
          std::to_string(Port) +
          R"(","zone":"dakar-a","version":"v1","capacity":64,"state":")" +
-         State + R"(","coldLeftMs":0,"born":)" + std::to_string(BornMs) +
+         State + R"(","coldLeftMs":0,"born":)" + std::to_string(BornMs.load()) +
          R"(,"sequence":)" + std::to_string(++Entries) + "}";
 }
 
@@ -309,6 +327,7 @@
   while (!Ending) {
     const int Descriptor = ::accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
     if (Descriptor < 0) {
+      pauseMs(1);
       continue;
     }
     const int On = 1;
@@ -321,12 +340,17 @@
 
 void Replica::serve(int Descriptor) {
   Socket Caller{Descriptor};
+  const int OwnBoot = Boot;
   bool KeepAlive = true;
   while (KeepAlive && !Ending) {
     const auto Request = readMessage(Caller, false);
     if (!Request.Complete) {
       break;
     }
+    if (Boot != OwnBoot) {
+      ignore(Caller);
+      break;
+    }
     if (Request.field("X-Goldcrestnotch-Expect-Replica") != Name) {
       KeepAlive = Caller.write(
           "HTTP/1.1 421 Misdirected Request\r\nX-Goldcrestnotch-Replica-Id: " +
@@ -336,11 +360,20 @@
       continue;
     }
     KeepAlive = OnRequest(*this, Caller, Request);
+    if (Boot != OwnBoot) {
+      ignore(Caller);
+    }
   }
   const std::lock_guard Lock{Mutex};
   OpenSockets.erase(Descriptor);
 }
 
+void Replica::ignore(Socket &Caller) {
+  while (Caller.read()) {
+    Caller.Buffer.clear();
+  }
+}
+
 Daemon::Daemon(const std::string &Settings, const std::string &Log) {
   std::vector<std::string> Variables{"GOLDCRESTNOTCH_SETTINGS=" + Settings};
   for (char **Entry = environ; *Entry != nullptr; ++Entry) {
@@ -351,6 +384,7 @@
     }
   }
   std::vector<char *> Environment;
+  Environment.reserve(Variables.size() + 1);
   for (auto &Variable : Variables) {
     Environment.push_back(Variable.data());
   }
@@ -450,7 +484,9 @@
     {
       const std::lock_guard Lock{Mutex};
       for (const auto &Member : Replicas) {
-        Store.put("keyed.servers", Member->name(), Member->entry("ready"));
+        if (Member->running()) {
+          Store.put("keyed.servers", Member->name(), Member->entry("ready"));
+        }
       }
     }
     for (int Waited = 0; Waited < HeartbeatMs && !Ending; Waited += 20) {
@@ -475,8 +511,9 @@
 
 bool Deployment::portsFree() const {
   for (int I = 0; I < Machines; ++I) {
-    for (std::uint16_t Port = BasePort;
-         Port < BasePort + RangeOffset + RangeSize; ++Port) {
+    for (int Number = BasePort; Number < BasePort + RangeOffset + RangeSize;
+         ++Number) {
+      const auto Port = static_cast<std::uint16_t>(Number);
       if (!bindable(address(I), Port, SOCK_STREAM) ||
           !bindable(address(I), Port, SOCK_DGRAM)) {
         return false;
--- a/review/common/deployment.hpp
+++ b/review/common/deployment.hpp
@@ -115,17 +115,31 @@
   [[nodiscard]] std::string head(const Message &Request,
                                  const std::string &MoreFields) const;
 
+  /// @brief Number of the present boot; an exchange that began in another one
+  /// must write nothing more.
+  [[nodiscard]] int boot() const noexcept { return Boot; }
+  /// @brief Whether the replica runs, and so writes status reports.
+  [[nodiscard]] bool running() const noexcept { return Listener >= 0; }
+  /// @brief Ends the boot like a loss of power: open connections go silent, and
+  /// new ones are refused.
+  void crash();
+  /// @brief Starts again at the same address, under the same id.
+  void start();
+
 private:
   void accept();
   void serve(int Descriptor);
+  /// @brief Reads and drops what arrives until the peer closes.
+  static void ignore(Socket &Caller);
 
   std::string Name;
   std::string Service;
   std::string Address;
   Handler OnRequest;
-  int Listener = -1;
-  std::uint16_t Port = 0;
-  std::int64_t BornMs = 0;
+  std::atomic<int> Listener{-1}; ///< Negative while the replica is down.
+  std::uint16_t Port = 0;        ///< Zero before the first start.
+  std::atomic<int> Boot{0};
+  std::atomic<std::int64_t> BornMs{0};
   std::atomic<std::uint64_t> Entries{0};
   std::atomic<bool> Ending{false};
   std::thread Acceptor;
