--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target-review/silent_crash ] || exit 2
-timeout 115 target-review/silent_crash review/4/record.txt
+[ -x target-review/ignored_order ] || exit 2
+timeout 115 target-review/ignored_order review/4/record.txt
 CODE=$?
 [ "$CODE" -le 1 ] && exit "$CODE"
 exit 2
--- a/review/common/deployment.cpp
+++ b/review/common/deployment.cpp
@@ -252,9 +252,10 @@
   return Result;
 }
 
-Replica::Replica(std::string Name, std::string Service, std::string Address,
-                 Handler OnRequest)
-    : Name{std::move(Name)}, Service{std::move(Service)},
+Replica::Replica(std::string Name, std::string Service, std::string Version,
+                 std::string Address, Handler OnRequest)
+    : Name{std::move(Name)}, Service{std::move(Service)}, Version{std::move(
+                                                              Version)},
       Address{std::move(Address)}, OnRequest{std::move(OnRequest)} {
   start();
   Acceptor = std::thread{[this] { accept(); }};
@@ -308,9 +309,9 @@
 
 std::string Replica::entry(const std::string &State) {
   return R"({"service":")" + Service + R"(","address":")" + Address + ":" +
-         std::to_string(Port) +
-         R"(","zone":"dakar-a","version":"v1","capacity":64,"state":")" +
-         State + R"(","coldLeftMs":0,"born":)" + std::to_string(BornMs.load()) +
+         std::to_string(Port) + R"(","zone":"dakar-a","version":")" + Version +
+         R"(","capacity":64,"state":")" + State +
+         R"(","coldLeftMs":0,"born":)" + std::to_string(BornMs.load()) +
          R"(,"sequence":)" + std::to_string(++Entries) + "}";
 }
 
@@ -484,7 +485,7 @@
     {
       const std::lock_guard Lock{Mutex};
       for (const auto &Member : Replicas) {
-        if (Member->running()) {
+        if (Member->running() && !LeavingReplicas.contains(Member->name())) {
           Store.put("keyed.servers", Member->name(), Member->entry("ready"));
         }
       }
@@ -497,14 +498,29 @@
 
 Replica &Deployment::addReplica(const std::string &Name,
                                 const std::string &Service,
-                                Replica::Handler OnRequest) {
+                                Replica::Handler OnRequest,
+                                const std::string &Version) {
   const std::lock_guard Lock{Mutex};
-  Replicas.push_back(std::make_unique<Replica>(Name, Service, Prefix + "200",
-                                               std::move(OnRequest)));
+  Replicas.push_back(std::make_unique<Replica>(
+      Name, Service, Version, Prefix + "200", std::move(OnRequest)));
   Store.put("keyed.servers", Name, Replicas.back()->entry("ready"));
   return *Replicas.back();
 }
 
+void Deployment::drainReplica(const Replica &Leaving, int RemovalMs) {
+  {
+    const std::lock_guard Lock{Mutex};
+    LeavingReplicas.insert(Leaving.name());
+    for (const auto &Member : Replicas) {
+      if (Member->name() == Leaving.name()) {
+        Store.put("keyed.servers", Leaving.name(), Member->entry("draining"));
+      }
+    }
+  }
+  pauseMs(RemovalMs);
+  Store.put("keyed.servers", Leaving.name(), std::nullopt);
+}
+
 std::string Deployment::address(int Machine) const {
   return Prefix + std::to_string(Machine + 1);
 }
--- a/review/common/deployment.hpp
+++ b/review/common/deployment.hpp
@@ -101,14 +101,14 @@
   /// @return Whether the connection may carry another request.
   using Handler = std::function<bool(Replica &, Socket &, const Message &)>;
 
-  Replica(std::string Name, std::string Service, std::string Address,
-          Handler OnRequest);
+  Replica(std::string Name, std::string Service, std::string Version,
+          std::string Address, Handler OnRequest);
   ~Replica();
   Replica(const Replica &) = delete;
   Replica &operator=(const Replica &) = delete;
 
   [[nodiscard]] const std::string &name() const noexcept { return Name; }
-  [[nodiscard]] const std::string &service() const noexcept { return Service; }
+  [[nodiscard]] const std::string &version() const noexcept { return Version; }
   /// @brief The next entry for the platform's list of replicas.
   [[nodiscard]] std::string entry(const std::string &State);
   /// @brief Head of a response that ran, without the blank line at its end.
@@ -134,6 +134,7 @@
 
   std::string Name;
   std::string Service;
+  std::string Version;
   std::string Address;
   Handler OnRequest;
   std::atomic<int> Listener{-1}; ///< Negative while the replica is down.
@@ -178,7 +179,10 @@
 
   /// @brief Adds a replica that writes status reports from now on.
   Replica &addReplica(const std::string &Name, const std::string &Service,
-                      Replica::Handler OnRequest);
+                      Replica::Handler OnRequest,
+                      const std::string &Version = "v1");
+  /// @brief Reports that a replica is draining, and removes its entry later.
+  void drainReplica(const Replica &Leaving, int RemovalMs);
   /// @brief Starts all daemons and waits until they are ready.
   [[nodiscard]] bool start();
   /// @brief Starts the daemon of a machine, which must have ended.
@@ -216,6 +220,7 @@
   std::vector<std::unique_ptr<Daemon>> Daemons;
   std::mutex Mutex;
   std::vector<std::unique_ptr<Replica>> Replicas; ///< Guarded by `Mutex`.
+  std::set<std::string> LeavingReplicas;          ///< Guarded by `Mutex`.
   std::atomic<bool> Ending{false};
   std::thread Reporter;
 };
