--- a/review/4/ignored_order.cpp
+++ b/review/4/ignored_order.cpp
@@ -78,7 +78,9 @@
     }
     std::string Body;
     for (int I = 1; I <= Pieces; ++I) {
-      Body += "id: " + std::to_string(I) + "\ndata: piece\n\n";
+      Body += "id: ";
+      Body += std::to_string(I);
+      Body += "\ndata: piece\n\n";
     }
     return To.write(Self.head(Request, "Content-Type: text/event-stream\r\n"
                                        "Content-Length: " +
@@ -90,19 +92,9 @@
   void client(int Number, std::int64_t Deadline) {
     for (int I = 0; review::elapsedMs() < Deadline; ++I) {
       const auto Id = "c" + std::to_string(Number) + "-" + std::to_string(I);
-      const auto Answer = Fleet.call(
-          (Number + I) % Machines,
-          "POST /tag/2f HTTP/1.1\r\nHost: shop.example\r\n"
-          "X-Goldcrestnotch-Attempt-Id: " +
-              Id +
-              "\r\nX-Goldcrestnotch-Model: m\r\n"
-              "X-Goldcrestnotch-Token-Usage: 1800,24\r\n"
-              "X-Goldcrestnotch-Prompt-Prefix: 5c1e07a2:800,f00d" +
-              std::to_string((Number * 7 + I) % PromptParts) + ":410," + Id +
-              ":250\r\nX-Goldcrestnotch-Deadline-Ms: 3000\r\n"
-              "Authorization: Bearer key-1\r\nContent-Length: 2\r\n"
-              "Connection: close\r\n\r\nhi",
-          4'000);
+      const auto Answer =
+          Fleet.call((Number + I) % Machines,
+                     requestOf(Id, (Number * 7 + I) % PromptParts), 4'000);
       Log.line(Id + " answered " + std::to_string(Answer.status()));
       Served += Answer.status() == 200 ? 1 : 0;
       review::pauseMs(80);
@@ -168,6 +160,19 @@
   std::atomic<int> Served{0};
 
 private:
+  static std::string requestOf(const std::string &Id, int Part) {
+    return "POST /tag/2f HTTP/1.1\r\nHost: shop.example\r\n"
+           "X-Goldcrestnotch-Attempt-Id: " +
+           Id +
+           "\r\nX-Goldcrestnotch-Model: m\r\n"
+           "X-Goldcrestnotch-Token-Usage: 1800,24\r\n"
+           "X-Goldcrestnotch-Prompt-Prefix: 5c1e07a2:800,f00d" +
+           std::to_string(Part) + ":410," + Id +
+           ":250\r\nX-Goldcrestnotch-Deadline-Ms: 3000\r\n"
+           "Authorization: Bearer key-1\r\nContent-Length: 2\r\n"
+           "Connection: close\r\n\r\nhi";
+  }
+
   static void waitUntil(std::int64_t When) {
     review::pauseMs(std::max<std::int64_t>(When - review::elapsedMs(), 0));
   }
@@ -190,6 +195,7 @@
   /// Starts the replicas of a version beside the old ones.
   std::vector<Replica *> startVersion(const std::string &Version) {
     std::vector<Replica *> Result;
+    Result.reserve(NewReplicas);
     for (int I = 0; I < NewReplicas; ++I) {
       Result.push_back(&Fleet.addReplica(
           "i-" + Version + "-" + std::to_string(I), "llm",
