--- a/review/3/endless_bytes.cpp
+++ b/review/3/endless_bytes.cpp
@@ -29,7 +29,7 @@
 constexpr std::int64_t FaultyMs = 6'500;
 constexpr std::int64_t FaultyIntervalMs = 10'000;
 /// `memoryMb` and `linkMbps` of a machine, as the settings file says.
-constexpr std::size_t MemoryBytes = 260'000'000;
+constexpr std::size_t MemoryBytes = std::size_t{260} << 20U;
 constexpr std::size_t LinkBytesPerMs = 125'000;
 constexpr int WatchMs = 10;
 constexpr int RestartDelayMs = 300;
