Fault: no peer decides how many bytes of a head, chunk head or trailers are kept

Callers saw their requests end when a target on the same VM sent bytes without a line end where the head of the next chunk was due: the VM kept them all, and the platform killed it for its memory.

Cause: Beast consumes a chunk head or a trailer section only when it is whole, and reads on into a flat_buffer that had no maximum size. Bodies, events and heads had limits; the bytes of unfinished framing never become body. The connections to callers, the store and other VMs used the same kind of buffer.

Why it works: the parser fails with buffer_overflow once the unconsumed bytes reach 16 KiB, or the limit on heads where that is higher. Body bytes are consumed as they come, so nothing that a sound peer sends is cut: extensions, trailers, long chunks and bodies that end with their connection have tests.

Related: a response that a VM reads whole from another VM is bounded at 16 MiB (64 before). Malformed bytes no longer count as a crash of the target under a prompt.

--- a/src/goldcrestnotch/http/client.cpp
+++ b/src/goldcrestnotch/http/client.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 
 #include "goldcrestnotch/core/error.hpp"
+#include "goldcrestnotch/http/read_buffer.hpp"
 #include "goldcrestnotch/kernel/await.hpp"
 
 namespace goldcrestnotch::http {
@@ -23,6 +24,8 @@
 static constexpr int ReceiveBufferBytes = 65'536;
 static constexpr std::size_t ReadChunkBytes = 16'384;
 static constexpr std::uint64_t MaxBodyBytes = 64ULL * 1024 * 1024;
+/// Largest body that is returned in one piece.
+static constexpr std::size_t MaxWholeBodyBytes = 16U << 20U;
 
 [[nodiscard]] static Error
 connectionError(std::string_view Problem, const Endpoint &Remote,
@@ -125,7 +128,7 @@
   asio::yield_context Yield;
   Endpoint Remote;
   beast::basic_stream<tcp> Socket;
-  beast::flat_buffer Buffer;
+  ReadBuffer Buffer;
   wire::response_parser<wire::buffer_body> Parser;
   Response Head;
 };
@@ -145,6 +148,11 @@
   Response Result = Stream->head();
   while (auto Chunk = Stream->read(Deadline)) {
     Result.Body += *Chunk;
+    if (Result.Body.size() > internal::MaxWholeBodyBytes) {
+      throw Error{502, "response_too_large",
+                  "the response of " + Remote.str() + " exceeds the size limit"}
+          .withVerdict(Verdict::MayHaveRun);
+    }
   }
   return Result;
 }
--- a/src/goldcrestnotch/http/server.cpp
+++ b/src/goldcrestnotch/http/server.cpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http.hpp>
 
 #include "goldcrestnotch/core/error.hpp"
+#include "goldcrestnotch/http/read_buffer.hpp"
 #include "goldcrestnotch/telemetry/log.hpp"
 
 namespace goldcrestnotch::http {
@@ -223,7 +224,7 @@
   }
 
   void serve(const std::shared_ptr<Stream> &Socket, asio::yield_context Yield) {
-    beast::flat_buffer Buffer;
+    ReadBuffer Buffer{Bounds.MaxHeadBytes};
     try {
       while (!Draining && serveRequest(Socket, Buffer, Yield)) {
       }
@@ -240,7 +241,7 @@
   }
 
   [[nodiscard]] bool serveRequest(const std::shared_ptr<Stream> &Socket,
-                                  beast::flat_buffer &Buffer,
+                                  ReadBuffer &Buffer,
                                   asio::yield_context Yield) {
     wire::request_parser<wire::string_body> Parser;
     Parser.header_limit(Bounds.MaxHeadBytes);
@@ -278,7 +279,8 @@
     Response Result = internal::errorResponse(400, "malformed_request");
     if (Failure == wire::error::body_limit) {
       Result = internal::errorResponse(413, "body_too_large");
-    } else if (Failure == wire::error::header_limit) {
+    } else if (Failure == wire::error::header_limit ||
+               Failure == wire::error::buffer_overflow) {
       Result = internal::errorResponse(431, "head_too_large");
     } else if (Failure == beast::error::timeout) {
       return;
--- a/src/goldcrestnotch/http/session.cpp
+++ b/src/goldcrestnotch/http/session.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/http.hpp>
 
 #include "goldcrestnotch/core/error.hpp"
+#include "goldcrestnotch/http/read_buffer.hpp"
 
 namespace goldcrestnotch::http {
 
@@ -137,7 +138,7 @@
   asio::io_context &Context;
   Endpoint Remote;
   std::optional<Stream> Socket;
-  beast::flat_buffer Buffer;
+  ReadBuffer Buffer;
 };
 
 Session::Session(asio::io_context &Context, Endpoint Remote)
--- a/src/goldcrestnotch/proxy/caller_connection.cpp
+++ b/src/goldcrestnotch/proxy/caller_connection.cpp
@@ -45,7 +45,8 @@
 /// @brief Classifies an error of reading a request.
 [[nodiscard]] static ReadResult
 resultOf(const boost::system::error_code &Failure) {
-  if (Failure == wire::error::header_limit) {
+  if (Failure == wire::error::header_limit ||
+      Failure == wire::error::buffer_overflow) {
     return ReadResult::HeadTooLarge;
   }
   if (Failure == wire::error::body_limit) {
@@ -66,6 +67,7 @@
                                   const LoopDelay &Delay) {
   boost::system::error_code Failure;
   Started = false;
+  Buffer.admit(Limits.MaxHeaderBytes);
   if (Buffer.size() == 0) {
     Socket.expires_after(Limits.IdleTimeout);
     const auto Count = Socket.async_read_some(
--- a/src/goldcrestnotch/proxy/caller_connection.hpp
+++ b/src/goldcrestnotch/proxy/caller_connection.hpp
@@ -10,10 +10,10 @@
 #include <string_view>
 
 #include <boost/asio/spawn.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "goldcrestnotch/http/read_buffer.hpp"
 #include "goldcrestnotch/proxy/loop_delay.hpp"
 #include "goldcrestnotch/proxy/target_connection.hpp"
 #include "goldcrestnotch/routing/configuration.hpp"
@@ -29,7 +29,8 @@
   Complete,     ///< A request was read.
   Closed,       ///< The caller closed the connection or timed out.
   Malformed,    ///< The bytes are not a valid HTTP request.
-  HeadTooLarge, ///< The head exceeds the configured limit.
+  HeadTooLarge, ///< The head exceeds the configured limit, or a chunk head or
+                ///< the trailer section that of the buffer.
   BodyTooLarge, ///< The body exceeds the configured limit.
 };
 
@@ -83,7 +84,7 @@
 
 private:
   TcpStream Socket;
-  boost::beast::flat_buffer Buffer;
+  http::ReadBuffer Buffer;
   WireRequest Request;
   Instant Arrival{};
   std::function<void()> OnGone;
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -414,7 +414,7 @@
 AttemptResult Exchange::receiveResponse(Upstream &Remote) {
   const auto AttemptId = view(Caller.request()[Context.Headers.AttemptId]);
   if (!Remote.readHead(Context.Headers.AttemptId, AttemptId)) {
-    Cause = "answer_lost";
+    Cause = Remote.malformed() ? "answer_malformed" : "answer_lost";
     return DecisionClock::now() >= Deadline ? AttemptResult::DeadlineExceeded
                                             : AttemptResult::ResponseLost;
   }
@@ -526,7 +526,7 @@
 AttemptResult Exchange::forwardBuffered(Upstream &Remote) {
   std::string Body;
   if (!Remote.readAll(Body, internal::MaxBodyBytes)) {
-    Cause = "answer_broken";
+    Cause = Remote.malformed() ? "answer_malformed" : "answer_broken";
     return DecisionClock::now() >= Deadline ? AttemptResult::DeadlineExceeded
                                             : AttemptResult::ResponseLost;
   }
@@ -590,7 +590,7 @@
     }
     if (!ReadOk) {
       recordBreak(Remote);
-      Cause = "stream_broken";
+      Cause = Remote.malformed() ? "answer_malformed" : "stream_broken";
       return DecisionClock::now() >= Deadline ? AttemptResult::DeadlineExceeded
                                               : AttemptResult::ResponseLost;
     }
--- a/src/goldcrestnotch/proxy/target_connection.cpp
+++ b/src/goldcrestnotch/proxy/target_connection.cpp
@@ -94,6 +94,7 @@
                              std::shared_ptr<TargetConnection> Connection,
                              std::int64_t MaxConnections) {
   Connection->Socket.expires_never();
+  Connection->Buffer.shrink_to_fit();
   auto &Connections = Idle[{To.Name, To.Incarnation}];
   Connections.push_back(std::move(Connection));
   while (Connections.size() > idleLimit(MaxConnections)) {
--- a/src/goldcrestnotch/proxy/target_connection.hpp
+++ b/src/goldcrestnotch/proxy/target_connection.hpp
@@ -14,10 +14,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/spawn.hpp>
 #include <boost/beast/core/basic_stream.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 
 #include "goldcrestnotch/backend/target.hpp"
 #include "goldcrestnotch/core/instant.hpp"
+#include "goldcrestnotch/http/read_buffer.hpp"
 
 namespace goldcrestnotch::proxy {
 
@@ -41,7 +41,7 @@
   [[nodiscard]] bool idle();
 
   TcpStream Socket;
-  boost::beast::flat_buffer Buffer;
+  http::ReadBuffer Buffer;
   bool Used = false;       ///< It has carried a request before.
   Instant ReuseDeadline{}; ///< The target may close it after this time.
 };
--- a/src/goldcrestnotch/proxy/upstream.cpp
+++ b/src/goldcrestnotch/proxy/upstream.cpp
@@ -27,6 +27,15 @@
 static constexpr int MaxStaleResponses = 3;
 static constexpr std::size_t ReadBufferBytes = 16'384;
 
+/// @brief Whether bytes were received that are no valid response.
+[[nodiscard]] static bool
+isMalformed(const boost::system::error_code &Failure) {
+  return Failure.category() ==
+             wire::make_error_code(wire::error::bad_chunk).category() &&
+         Failure != wire::error::end_of_stream &&
+         Failure != wire::error::partial_message;
+}
+
 /// @brief How long a connection may be idle and still be reused, from the
 /// `Keep-Alive` header of its target.
 [[nodiscard]] static Millis reuseTime(const WireFields &Fields) {
@@ -73,6 +82,7 @@
     wire::async_read_header(Connection->Socket, Connection->Buffer, *Response,
                             Yield[Failure]);
     if (Failure) {
+      Malformed = internal::isMalformed(Failure);
       return false;
     }
     const auto EchoedId = Response->get()[HeaderName];
@@ -104,7 +114,8 @@
   if (!Failure || Failure == wire::error::need_buffer) {
     return true;
   }
-  BrokenOff = Failure != boost::beast::error::timeout &&
+  Malformed = internal::isMalformed(Failure);
+  BrokenOff = !Malformed && Failure != boost::beast::error::timeout &&
               Failure != asio::error::operation_aborted;
   return false;
 }
--- a/src/goldcrestnotch/proxy/upstream.hpp
+++ b/src/goldcrestnotch/proxy/upstream.hpp
@@ -54,9 +54,12 @@
   [[nodiscard]] int status() const {
     return static_cast<int>(Response->get().result_int());
   }
-  /// @brief Whether the connection failed while the response was read, and did
-  /// not just reach a deadline.
+  /// @brief Whether the target ended or lost the connection while the response
+  /// was read. A deadline or malformed bytes are no such end.
   [[nodiscard]] bool brokenOff() const noexcept { return BrokenOff; }
+  /// @brief Whether the target sent bytes that are no valid response, or a
+  /// chunk head or trailer section without end.
+  [[nodiscard]] bool malformed() const noexcept { return Malformed; }
   /// @brief Whether the whole response has been read.
   [[nodiscard]] bool complete() const { return Response->is_done(); }
 
@@ -99,6 +102,7 @@
   std::optional<Parser> Response;
   std::string ReadBuffer;
   bool BrokenOff = false;
+  bool Malformed = false;
   bool Released = false;
 };
 
--- /dev/null
+++ b/standin/raw_peer.cpp
@@ -0,0 +1,71 @@
+/// @file
+/// Accepts connections one after the other and sends raw bytes.
+
+#include "raw_peer.hpp"
+
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+namespace standin {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t MaxBytes = 64U << 20U;
+
+} // namespace
+
+std::size_t sendRaw(tcp::socket &Socket, const RawBytes &Content) {
+  boost::system::error_code Failure;
+  std::size_t Sent = asio::write(Socket, asio::buffer(Content.Begin), Failure);
+  while (!Failure && !Content.Repeated.empty() && Sent < MaxBytes) {
+    Sent += asio::write(Socket, asio::buffer(Content.Repeated), Failure);
+  }
+  // The other side may have closed the connection already.
+  Socket.shutdown(tcp::socket::shutdown_send, Failure);
+  Socket.close(Failure);
+  return Sent;
+}
+
+RawPeer::RawPeer(RawBytes Response)
+    : Acceptor{Context, tcp::endpoint{asio::ip::address_v4::loopback(), 0}},
+      Port{Acceptor.local_endpoint().port()}, Response{std::move(Response)},
+      Server{[this] { serve(); }} {}
+
+RawPeer::~RawPeer() { (void)finish(); }
+
+std::size_t RawPeer::finish() {
+  if (Server.joinable()) {
+    Ending = true;
+    // Wakes the server; it may have ended already.
+    boost::system::error_code Ignored;
+    tcp::socket{Context}.connect({asio::ip::address_v4::loopback(), Port},
+                                 Ignored);
+    Server.join();
+  }
+  return Sent;
+}
+
+void RawPeer::serve() {
+  while (true) {
+    tcp::socket Socket{Context};
+    boost::system::error_code Failure;
+    Acceptor.accept(Socket, Failure);
+    if (Failure || Ending) {
+      return;
+    }
+    std::string Request;
+    asio::read_until(Socket, asio::dynamic_buffer(Request), "\r\n\r\n",
+                     Failure);
+    if (!Failure) {
+      Sent += sendRaw(Socket, Response);
+    }
+  }
+}
+
+} // namespace standin
--- /dev/null
+++ b/test/goldcrestnotch/proxy/upstream_test.cpp
@@ -0,0 +1,160 @@
+/// @file
+/// Tests of reading responses of targets that send bytes without end, or
+/// unusual but valid ones.
+
+#include "goldcrestnotch/proxy/upstream.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+#include "raw_peer.hpp"
+
+namespace goldcrestnotch::proxy {
+namespace {
+
+/// What a peer can send to a connection that reads nothing more: the socket
+/// buffers of both sides, which the kernel sizes.
+constexpr std::size_t MaxUnreadBytes = 12U << 20U;
+constexpr std::size_t MaxBodyBytes = 1U << 20U;
+const std::string Head = "HTTP/1.1 200 OK\r\nAttempt: a1\r\n";
+const std::string ChunkedHead = Head + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string Filler(65'536, '#');
+
+class UpstreamTest : public testing::Test {
+protected:
+  /// @brief Sends a request to a target and reads the whole response.
+  void exchange(std::uint16_t Port) {
+    boost::asio::spawn(Loop, [&](boost::asio::yield_context Yield) {
+      backend::Registration To;
+      To.Endpoint = {"127.0.0.1", Port};
+      ConnectionPool Pool{Loop};
+      const auto Deadline = DecisionClock::now() + Millis{5'000};
+      const auto Connection = Pool.connect(Yield, To, Deadline);
+      WireRequest Request{boost::beast::http::verb::get, "/", 11};
+      Upstream Remote{Connection, std::move(Request),
+                      std::make_shared<backend::Target>(), 0, Yield};
+      Remote.send(Deadline);
+      HeadRead = Remote.readHead("Attempt", "a1");
+      Whole = HeadRead && Remote.readAll(Body, MaxBodyBytes);
+      Malformed = Remote.malformed();
+      BrokenOff = Remote.brokenOff();
+      BufferBytes = Connection->Buffer.capacity();
+    });
+    Loop.run();
+  }
+
+  /// @brief Expects that a response without end is not buffered.
+  void expectCutOff(const standin::RawBytes &Response) {
+    standin::RawPeer Target{Response};
+    const auto Begin = DecisionClock::now();
+    exchange(Target.port());
+    EXPECT_FALSE(Whole);
+    EXPECT_FALSE(BrokenOff) << "the target did not end the connection";
+    EXPECT_LE(BufferBytes, 64U << 10U);
+    EXPECT_LE(Target.finish(), MaxUnreadBytes);
+    EXPECT_LT(DecisionClock::now() - Begin, Millis{4'000});
+  }
+
+  boost::asio::io_context Loop;
+  std::string Body;
+  bool HeadRead = false;
+  bool Whole = false;
+  bool Malformed = false;
+  bool BrokenOff = false;
+  std::size_t BufferBytes = 0;
+};
+
+// A target that never ends one part of its response must not make the VM
+// buffer it: the process would be killed for its memory.
+TEST_F(UpstreamTest, StatusLineWithoutEndIsCutOff) {
+  expectCutOff({"HTTP/1.1 200 ", Filler});
+}
+
+TEST_F(UpstreamTest, HeadWithoutEndIsCutOff) {
+  expectCutOff({Head, "X-Noise: 0123456789012345678901234567890123456789\r\n"});
+}
+
+TEST_F(UpstreamTest, HeadWithoutEndBehindALateResponseIsCutOff) {
+  expectCutOff(
+      {"HTTP/1.1 200 OK\r\nAttempt: a0\r\nContent-Length: 1\r\n\r\nx", Filler});
+}
+
+TEST_F(UpstreamTest, FirstChunkHeadWithoutEndIsCutOff) {
+  expectCutOff({ChunkedHead, Filler});
+  EXPECT_TRUE(Malformed);
+}
+
+TEST_F(UpstreamTest, ChunkHeadWithoutEndIsCutOff) {
+  expectCutOff({ChunkedHead + "1\r\nx\r\n", Filler});
+  EXPECT_TRUE(Malformed);
+}
+
+TEST_F(UpstreamTest, ChunkExtensionWithoutEndIsCutOff) {
+  expectCutOff({ChunkedHead + "1;x=", Filler});
+  EXPECT_TRUE(Malformed);
+}
+
+TEST_F(UpstreamTest, TrailerSectionWithoutEndIsCutOff) {
+  expectCutOff({ChunkedHead + "1\r\nx\r\n0\r\n", "X-Noise: 0123456789\r\n"});
+  EXPECT_TRUE(Malformed);
+}
+
+TEST_F(UpstreamTest, TrailerSectionOfALateResponseWithoutEndIsCutOff) {
+  expectCutOff({"HTTP/1.1 200 OK\r\nAttempt: a0\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+                "X-Noise: 0123456789\r\n"});
+}
+
+TEST_F(UpstreamTest, BodyWithoutEndIsCutOff) {
+  expectCutOff({Head + "\r\n", Filler});
+}
+
+TEST_F(UpstreamTest, ChunkExtensionsAreNoFault) {
+  std::string Response = ChunkedHead;
+  for (int I = 0; I < 100; ++I) {
+    Response += "1;part=\"" + std::string(4'000, 'e') + "\"\r\nx\r\n";
+  }
+  standin::RawPeer Target{{Response + "0;last\r\n\r\n", ""}};
+  exchange(Target.port());
+  EXPECT_TRUE(Whole);
+  EXPECT_EQ(Body, std::string(100, 'x'));
+}
+
+TEST_F(UpstreamTest, TrailersAreNoFault) {
+  std::string Response = ChunkedHead + "3\r\nabc\r\n0\r\n";
+  for (int I = 0; I < 100; ++I) {
+    Response += "X-Trailer-" + std::to_string(I) + ": value\r\n";
+  }
+  standin::RawPeer Target{{Response + "\r\n", ""}};
+  exchange(Target.port());
+  EXPECT_TRUE(Whole);
+  EXPECT_EQ(Body, "abc");
+}
+
+TEST_F(UpstreamTest, LargeChunkIsNoFault) {
+  standin::RawPeer Target{
+      {ChunkedHead + "80000\r\n" + std::string(0x80000, 'x') + "\r\n0\r\n\r\n",
+       ""}};
+  exchange(Target.port());
+  EXPECT_TRUE(Whole);
+  EXPECT_EQ(Body.size(), 0x80000U);
+}
+
+TEST_F(UpstreamTest, BodyThatEndsWithItsConnectionIsWhole) {
+  standin::RawPeer Target{{Head + "\r\n" + std::string(100'000, 'x'), ""}};
+  exchange(Target.port());
+  EXPECT_TRUE(Whole);
+  EXPECT_EQ(Body.size(), 100'000U);
+}
+
+// Only the end of a connection is evidence that a prompt crashes its target.
+TEST_F(UpstreamTest, EndInsideAChunkIsTheEndOfTheTarget) {
+  standin::RawPeer Target{{ChunkedHead + "5\r\nab", ""}};
+  exchange(Target.port());
+  EXPECT_FALSE(Whole);
+  EXPECT_TRUE(BrokenOff);
+  EXPECT_FALSE(Malformed);
+}
+
+} // namespace
+} // namespace goldcrestnotch::proxy
