ORDER: a stream is resumed behind what was passed on, not behind a gap

Callers of resumable routes got streams with status 200 and a proper end that lacked events: a target's wrong bytes had hidden an id, and the resume went on behind it.

Cause: EventFramer set its last id to that of the event behind the gap, and the relay returned before it wrote the events in front of the gap that the same read had completed. An id shortened by wrong bytes counted as an event that the caller has.

Why it works: an id is recorded only for an event that feed returns, and what feed returns is written before the connection is given up. Ids must be consecutive on a connection; the first one may repeat what the caller has. An event without an id is held until the next id shows that nothing is missing.

Ruled out: events dropped as duplicates by the second target's resume.

--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -548,7 +548,7 @@
 AttemptResult Exchange::relayStream(Upstream &Remote) {
   const WireFields Fields = Remote.fields();
   const int Status = Remote.status();
-  Framer.discardPartial();
+  Framer.beginConnection();
   std::string Bytes;
   while (!Remote.complete()) {
     Bytes.clear();
@@ -571,14 +571,8 @@
       // A slow stream would tell of itself last.
       recordEvidence(Remote.target(), false);
     }
-    if (Batch.Oversized) {
-      Cause = "event_endless";
-      return AttemptResult::ResponseLost;
-    }
-    if (Batch.Gap) {
-      Cause = "event_missing";
-      return AttemptResult::ResponseLost;
-    }
+    // Another target continues behind the last of these events, so they are
+    // passed on even if this connection can't be read further.
     if (!Batch.Bytes.empty()) {
       if (!Caller.started()) {
         ResponseStatus = Status;
@@ -588,6 +582,10 @@
       }
       Caller.write(Yield, Batch.Bytes, Deadline);
     }
+    if (Batch.Oversized || Batch.Gap) {
+      Cause = Batch.Oversized ? "event_endless" : "event_missing";
+      return AttemptResult::ResponseLost;
+    }
     if (!ReadOk) {
       recordBreak(Remote);
       Cause = Remote.malformed() ? "answer_malformed" : "stream_broken";
@@ -603,6 +601,7 @@
     ResponseStatus = Status;
     Caller.start(Yield, Status, Fields, Deadline);
   }
+  Caller.write(Yield, Framer.takeHeld(), Deadline);
   recordSoundAnswer();
   Remote.release(Context.Connections);
   Caller.finish(Yield, Deadline);
--- a/src/goldcrestnotch/stream/event_framer.hpp
+++ b/src/goldcrestnotch/stream/event_framer.hpp
@@ -4,10 +4,13 @@
 
 #pragma once
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <system_error>
+#include <utility>
 
 namespace goldcrestnotch {
 
@@ -16,11 +19,20 @@
   std::string Bytes;        ///< Unchanged events, each with its blank line.
   std::uint64_t Count = 0;  ///< Number of events that carry an id.
   std::uint64_t LastId = 0; ///< Id of the last such event; zero if none.
-  bool Gap = false;         ///< An id was not one more than the previous id.
-  bool Oversized = false;   ///< The incomplete event exceeds the size limit.
+  /// The connection sent an id that is not one more than its previous id, or
+  /// that is not a number. Nothing behind it is passed on.
+  bool Gap = false;
+  bool Oversized = false; ///< The incomplete event exceeds the size limit.
 };
 
 /// @brief Forwards complete events and buffers an incomplete one.
+///
+/// An event without an id may be one whose id was spoiled, so it is held until
+/// the next id shows that none is missing. A stream whose events have no
+/// numbers at all is passed on as it is.
+///
+/// Invariant: all events up to `lastId` have been returned by `feed`, so the
+/// stream can be resumed behind it.
 class EventFramer {
 public:
   /// Largest number of bytes that are buffered for an incomplete event.
@@ -29,32 +41,50 @@
   /// @param StartAfter Id of the last event that the receiver already has.
   explicit EventFramer(std::uint64_t StartAfter = 0) : LastId{StartAfter} {}
 
-  /// @brief The highest event id seen so far.
+  /// @brief Id of the last event that was returned.
   [[nodiscard]] std::uint64_t lastId() const noexcept { return LastId; }
   /// @brief Whether an incomplete event is buffered.
   [[nodiscard]] bool hasPartial() const noexcept { return !Buffer.empty(); }
 
-  /// @brief Discards an incomplete event, since another connection continues
-  /// the stream and sends that event again.
-  void discardPartial() { Buffer.clear(); }
+  /// @brief Number of bytes that are buffered or held.
+  [[nodiscard]] std::size_t bufferedBytes() const noexcept {
+    return Buffer.size() + Held.size();
+  }
+
+  /// @brief Begins to read from another connection, which continues the stream.
+  /// An incomplete event is discarded, since it is sent again.
+  void beginConnection() {
+    Buffer.clear();
+    Held.clear();
+    ConnectionId = 0;
+  }
+  /// @brief Returns the events that are still held when the stream has ended.
+  [[nodiscard]] std::string takeHeld() { return std::exchange(Held, {}); }
   /// @brief Processes the next bytes of the stream.
   /// @return The events that these bytes complete, without those whose id is
-  /// not greater than `lastId`.
+  /// not greater than `lastId`. After a gap, the connection must not be read
+  /// further.
   [[nodiscard]] EventBatch feed(std::string_view Piece) {
     EventBatch Result;
     Buffer += Piece;
     std::size_t Begin = 0;
-    for (auto End = eventEnd(Begin); End != std::string::npos;
+    for (auto End = eventEnd(Begin); End != std::string::npos && !Result.Gap;
          End = eventEnd(Begin)) {
       append(std::string_view{Buffer}.substr(Begin, End - Begin), Result);
       Begin = End;
     }
     Buffer.erase(0, Begin);
-    Result.Oversized = Buffer.size() > MaxEventBytes;
+    Result.Oversized = bufferedBytes() > MaxEventBytes;
     return Result;
   }
 
 private:
+  /// @brief The id line of an event.
+  struct EventId {
+    std::uint64_t Number = 0; ///< Zero if there is none.
+    bool Readable = true;     ///< The line, if there is one, holds a number.
+  };
+
   /// @brief Offset behind the blank line that ends the event at `Begin`, or
   /// `npos` if the event is incomplete.
   [[nodiscard]] std::size_t eventEnd(std::size_t Begin) const {
@@ -67,10 +97,9 @@
     return CarriageReturns < LineFeeds ? CarriageReturns + 4 : LineFeeds + 2;
   }
 
-  /// @brief Parses the id of an event.
-  /// @return Zero if the event has no id.
-  [[nodiscard]] static std::uint64_t idOf(std::string_view Event) {
-    std::uint64_t Id = 0;
+  /// @brief Parses the id of an event; the last id line counts.
+  [[nodiscard]] static EventId idOf(std::string_view Event) {
+    EventId Result;
     for (std::size_t Begin = 0; Begin < Event.size();) {
       const auto End = std::min(Event.find('\n', Begin), Event.size());
       auto Line = Event.substr(Begin, End - Begin);
@@ -78,29 +107,74 @@
       if (Line.starts_with("id:")) {
         Line.remove_prefix(3);
         Line.remove_prefix(std::min(Line.find_first_not_of(' '), Line.size()));
-        std::from_chars(Line.data(), Line.data() + Line.size(), Id);
+        Line = Line.substr(0, Line.find_last_not_of(" \r") + 1);
+        Result.Number = 0;
+        const auto *const LineEnd = Line.data() + Line.size();
+        const auto Parsed =
+            std::from_chars(Line.data(), LineEnd, Result.Number);
+        Result.Readable = Parsed.ec == std::errc{} && Parsed.ptr == LineEnd;
       }
     }
-    return Id;
+    return Result;
   }
 
   /// @brief Adds an event to a batch unless the receiver already has it.
   void append(std::string_view Event, EventBatch &Batch) {
     const auto Id = idOf(Event);
-    if (Id != 0 && Id <= LastId) {
+    const bool Spoiled = !Id.Readable && (Id.Number != 0 || numbered());
+    if (Spoiled || (Id.Number != 0 && !follows(Id.Number))) {
+      Batch.Gap = true;
+      Held.clear();
+    } else if (Id.Number != 0) {
+      appendNumbered(Event, Id.Number, Batch);
+    } else {
+      appendUnnumbered(Event, Batch);
+    }
+  }
+
+  void appendNumbered(std::string_view Event, std::uint64_t Id,
+                      EventBatch &Batch) {
+    ConnectionId = Id;
+    const auto Before = takeHeld();
+    if (Id <= LastId) {
       return;
     }
-    if (Id != 0) {
-      Batch.Gap = Batch.Gap || Id != LastId + 1;
-      LastId = Id;
-      Batch.LastId = Id;
-      ++Batch.Count;
+    LastId = Id;
+    Batch.LastId = Id;
+    ++Batch.Count;
+    Batch.Bytes += Before;
+    Batch.Bytes += Event;
+  }
+
+  void appendUnnumbered(std::string_view Event, EventBatch &Batch) {
+    const bool Comment = Event.starts_with(':');
+    // The first event of a stream does not tell whether others have numbers.
+    const bool Undecided = !Unnumbered && Held.empty();
+    if (numbered() ? !Comment || !Held.empty() : Undecided && !Comment) {
+      Held += Event;
+      return;
     }
+    Unnumbered = Unnumbered || !Comment;
+    Batch.Bytes += takeHeld();
     Batch.Bytes += Event;
   }
 
+  /// @brief Whether the events of the stream have numbers.
+  [[nodiscard]] bool numbered() const noexcept {
+    return LastId != 0 || ConnectionId != 0;
+  }
+  /// @brief Whether an id may come next on the connection. Its first event may
+  /// be one that the receiver already has.
+  [[nodiscard]] bool follows(std::uint64_t Id) const noexcept {
+    return ConnectionId == 0 ? Id <= LastId + 1 : Id == ConnectionId + 1;
+  }
+
   std::string Buffer;
+  std::string Held; ///< Events without an id behind the last one with an id.
   std::uint64_t LastId;
+  /// Id of the last event of the present connection; zero before the first.
+  std::uint64_t ConnectionId = 0;
+  bool Unnumbered = false; ///< An event without a number was passed on.
 };
 
 } // namespace goldcrestnotch
--- a/src/goldcrestnotch/stream/relay.cpp
+++ b/src/goldcrestnotch/stream/relay.cpp
@@ -23,31 +23,49 @@
     : Parser{internal::MaxEventBytes}, SkippedEvents{SkippedEvents} {}
 
 std::vector<StreamEvent> Relay::feed(std::string_view Piece) {
+  if (!Problem.empty()) {
+    throw std::runtime_error{Problem};
+  }
   std::vector<StreamEvent> Result;
   for (auto &Event : Parser.feed(Piece)) {
-    if (Event.Data == internal::EndMarker) {
-      Done = true;
-      Result.push_back(std::move(Event));
+    try {
+      if (!accept(Event)) {
+        continue;
+      }
+    } catch (const std::exception &Failure) {
+      if (Result.empty()) {
+        throw std::runtime_error{Failure.what()};
+      }
+      Problem = Failure.what();
       break;
     }
-    if (Event.Id == 0) {
-      Event.Id = LastEventId + 1;
-    }
-    if (Event.Id <= LastEventId) {
-      continue;
-    }
-    if (Event.Id != LastEventId + 1) {
-      throw std::runtime_error{"event missing from the target's response"};
-    }
-    readChunk(Event);
-    LastEventId = Event.Id;
-    if (Event.Id > SkippedEvents) {
-      Result.push_back(std::move(Event));
+    Result.push_back(std::move(Event));
+    if (Done) {
+      break;
     }
   }
   return Result;
 }
 
+bool Relay::accept(StreamEvent &Event) {
+  if (Event.Data == internal::EndMarker) {
+    Done = true;
+    return true;
+  }
+  if (Event.Id == 0) {
+    Event.Id = LastEventId + 1;
+  }
+  if (Event.Id <= LastEventId) {
+    return false;
+  }
+  if (Event.Id != LastEventId + 1) {
+    throw std::runtime_error{"event missing from the target's response"};
+  }
+  readChunk(Event);
+  LastEventId = Event.Id;
+  return Event.Id > SkippedEvents;
+}
+
 void Relay::readChunk(const StreamEvent &Event) {
   const auto Chunk = json::parse(Event.Data, nullptr, false);
   if (!Chunk.is_object() || Chunk.contains("error")) {
--- a/src/goldcrestnotch/stream/relay.hpp
+++ b/src/goldcrestnotch/stream/relay.hpp
@@ -58,15 +58,23 @@
   void collectText() noexcept { CollectsText = true; }
   /// @brief Discards an incomplete event, before a new connection resumes
   /// after `lastEventId`.
-  void discardPartial() noexcept { Parser.discardPartial(); }
+  void discardPartial() noexcept {
+    Parser.discardPartial();
+    Problem.clear();
+  }
   /// @brief Processes the next bytes of the response.
   /// @return The events to pass on.
   /// @throws std::runtime_error if an event is missing, is no JSON object or
-  /// reports an error.
+  /// reports an error. If events precede it in the piece, these are returned
+  /// and the next call throws, since a new connection resumes behind them.
   /// @throws std::length_error if an incomplete event exceeds the size limit.
   [[nodiscard]] std::vector<StreamEvent> feed(std::string_view Piece);
 
 private:
+  /// @brief Takes the next event of the response.
+  /// @return Whether it is passed on.
+  /// @throws std::exception as `feed`.
+  [[nodiscard]] bool accept(StreamEvent &Event);
   /// @brief Reads usage, text and finish reason from the JSON of an event.
   void readChunk(const StreamEvent &Event);
 
@@ -77,6 +85,7 @@
   bool CollectsText = false;
   std::string Text;
   std::string FinishReason;
+  std::string Problem; ///< Why the connection can't be read further, if so.
   std::optional<Usage> LatestUsage;
 };
 
--- a/standin/users_replica.cpp
+++ b/standin/users_replica.cpp
@@ -4,6 +4,7 @@
 #include "users_replica.hpp"
 
 #include <cstdlib>
+#include <utility>
 
 #include <boost/asio/error.hpp>
 #include <boost/system/system_error.hpp>
@@ -23,6 +24,8 @@
 constexpr const char *AttemptHeader = "X-Goldcrestnotch-Attempt-Id";
 constexpr const char *RateLimitHeader = "Server-Limit";
 constexpr int TruncatedEvent = 3;
+constexpr int SpoiledEvent = 3;
+constexpr std::size_t LargeBodyBytes = 3U << 20U;
 constexpr int OversizedHeadFields = 64;
 constexpr std::size_t PieceBytes = 16U << 10U;
 
@@ -136,7 +139,9 @@
     stream(HttpExchange, std::move(Reply));
     return;
   }
-  Reply.Body = "done by " + Name;
+  Reply.Body = CurrentBehavior == Behavior::LargeBody
+                   ? std::string(LargeBodyBytes, 'x')
+                   : "done by " + Name;
   HttpExchange.reply(Reply);
 }
 
@@ -205,13 +210,22 @@
   Head.Fields["Content-Type"] = "text/event-stream";
   const std::string LastEventId{HttpExchange.request().field("Last-Event-Id")};
   HttpExchange.start(Head);
+  std::string Held; ///< Sent with the next event.
   for (int I = std::atoi(LastEventId.c_str()) + 1; I <= Events; ++I) {
     sleep(HttpExchange, Millis{EventDelayMs});
     if (CurrentBehavior == Behavior::TruncatingStream && I == TruncatedEvent) {
       HttpExchange.write(event(I).substr(0, 4));
       loseConnection();
     }
-    HttpExchange.write(event(I));
+    if (CurrentBehavior == Behavior::SpoiledStream && I < SpoiledEvent) {
+      Held += event(I);
+      continue;
+    }
+    if (CurrentBehavior == Behavior::SpoiledStream && I == SpoiledEvent) {
+      Held += std::string(event(I).size(), '#');
+      continue;
+    }
+    HttpExchange.write(std::exchange(Held, {}) + event(I));
   }
   HttpExchange.finish();
 }
--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -40,6 +40,10 @@
                       ///< id.
     ClientError,      ///< Executes the request and responds 404.
     EmptyBody,        ///< Executes the request and responds 200 without a body.
+    /// Sends wrong bytes in the place of the third event of a stream, in one
+    /// piece with its neighbours.
+    SpoiledStream,
+    LargeBody, ///< Responds to calls with a body of 3 MiB.
   };
 
   UsersReplica(boost::asio::io_context &Context, std::string Name,
--- a/test/goldcrestnotch/stream/event_framer_test.cpp
+++ b/test/goldcrestnotch/stream/event_framer_test.cpp
@@ -34,7 +34,7 @@
 TEST(EventFramer, DiscardsPartialEventWhenAnotherConnectionContinues) {
   EventFramer Framer;
   (void)Framer.feed("id: 1\ndata: a\n\nid: 2\nda");
-  Framer.discardPartial();
+  Framer.beginConnection();
   const auto Batch = Framer.feed("id: 2\ndata: b\n\n");
   EXPECT_EQ(Batch.Bytes, "id: 2\ndata: b\n\n");
   EXPECT_FALSE(Batch.Gap);
@@ -51,6 +51,94 @@
   EXPECT_TRUE(Framer.feed("id: 2\ndata: b\n\n").Gap);
 }
 
+// A resumed stream went on behind a hole: the framer took the id behind the gap
+// for received, and the events before the gap were never passed on.
+TEST(EventFramer, ResumesBeforeAGap) {
+  EventFramer Framer;
+  (void)Framer.feed("id: 1\ndata: a\n\n");
+  const auto Batch =
+      Framer.feed("id: 2\ndata: b\n\nid: 4\ndata: d\n\nid: 5\ndata: e\n\n");
+  EXPECT_TRUE(Batch.Gap);
+  EXPECT_EQ(Batch.Bytes, "id: 2\ndata: b\n\n");
+  EXPECT_EQ(Batch.Count, 1U);
+  EXPECT_EQ(Framer.lastId(), 2U);
+  Framer.beginConnection();
+  const auto Resumed = Framer.feed("id: 3\ndata: c\n\nid: 4\ndata: d\n\n");
+  EXPECT_FALSE(Resumed.Gap);
+  EXPECT_EQ(Resumed.Bytes, "id: 3\ndata: c\n\nid: 4\ndata: d\n\n");
+}
+
+// The last event of a stream was dropped as a duplicate when wrong bytes had
+// shortened its id, and the stream looked complete.
+TEST(EventFramer, IdThatGoesBackOnAConnectionIsAGap) {
+  EventFramer Framer;
+  (void)Framer.feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  EXPECT_TRUE(Framer.feed("id: 1\ndata: c\n\n").Gap);
+  EXPECT_EQ(Framer.lastId(), 2U);
+}
+
+TEST(EventFramer, IdThatIsNoNumberIsAGapInANumberedStream) {
+  for (const auto *const Spoiled :
+       {"id: 2#\ndata: b\n\n", "id: ##\n\n", "id:\n\n"}) {
+    EventFramer Framer;
+    (void)Framer.feed("id: 1\ndata: a\n\n");
+    EXPECT_TRUE(Framer.feed(Spoiled).Gap) << Spoiled;
+  }
+  EXPECT_TRUE(EventFramer{}.feed("id: 1#\ndata: a\n\n").Gap);
+}
+
+TEST(EventFramer, PassesEventsWithoutNumbers) {
+  EventFramer Framer;
+  const std::string Events =
+      ": comment\n\nid: abc\ndata: a\n\ndata: b\n\nid: def\ndata: c\n\n";
+  const auto Batch = Framer.feed(Events);
+  EXPECT_FALSE(Batch.Gap);
+  EXPECT_EQ(Batch.Bytes, Events);
+  EXPECT_EQ(Batch.Count, 0U);
+}
+
+TEST(EventFramer, PassesEventsWithoutIdsBetweenNumberedOnes) {
+  EventFramer Framer;
+  const std::string Events = "id: 1\ndata: a\n\n: comment\n\ndata: x\n\n"
+                             "id: 2 \ndata: b\n\ndata: [DONE]\n\n";
+  const auto Batch = Framer.feed(Events);
+  EXPECT_FALSE(Batch.Gap);
+  EXPECT_EQ(Batch.Bytes + Framer.takeHeld(), Events);
+}
+
+// Wrong bytes in the place of an id made its event look like one without an
+// id. It reached the caller, and its data again after the resume.
+TEST(EventFramer, EventWithASpoiledIdIsDroppedWithTheGap) {
+  for (const std::uint64_t Last : {0U, 2U}) {
+    EventFramer Framer{Last};
+    const auto Next = std::to_string(Last + 2);
+    EXPECT_EQ(Framer.feed("#####\ndata: x\n\n").Bytes, "");
+    const auto Batch = Framer.feed("id: " + Next + "\ndata: y\n\n");
+    EXPECT_TRUE(Batch.Gap);
+    EXPECT_EQ(Batch.Bytes, "");
+    EXPECT_EQ(Framer.lastId(), Last);
+    EXPECT_EQ(Framer.takeHeld(), "");
+  }
+}
+
+TEST(EventFramer, HoldsNoMoreThanOneEventMayHave) {
+  EventFramer Framer{1};
+  const std::string Event = "data: " + std::string(16'384, 'x') + "\n\n";
+  bool Reported = false;
+  for (int I = 0; I < 20 && !Reported; ++I) {
+    Reported = Framer.feed(Event).Oversized;
+  }
+  EXPECT_TRUE(Reported);
+}
+
+TEST(EventFramer, ResumedConnectionMayRepeatEvents) {
+  EventFramer Framer{3};
+  const auto Batch = Framer.feed("id: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+                                 "id: 4\ndata: d\n\n");
+  EXPECT_FALSE(Batch.Gap);
+  EXPECT_EQ(Batch.Bytes, "id: 4\ndata: d\n\n");
+}
+
 TEST(EventFramer, AcceptsCarriageReturns) {
   EventFramer Framer;
   EXPECT_EQ(Framer.feed("id: 1\r\ndata: a\r\n\r\n").Count, 1U);
--- a/test/goldcrestnotch/stream/relay_test.cpp
+++ b/test/goldcrestnotch/stream/relay_test.cpp
@@ -50,6 +50,25 @@
   EXPECT_THROW((void)Response.feed(encodeEvent(3, "c")), std::runtime_error);
 }
 
+// Events in front of a gap were lost with the error, but counted as received,
+// so the response was resumed behind them.
+TEST(Relay, EventsBeforeAMissingOneArePassedOn) {
+  Relay Response;
+  EXPECT_EQ(Response.feed(encodeEvent(1, "a") + encodeEvent(3, "c")).size(),
+            1U);
+  EXPECT_EQ(Response.lastEventId(), 1U);
+  EXPECT_THROW((void)Response.feed(encodeEvent(4, "d")), std::runtime_error);
+  Response.discardPartial();
+  EXPECT_EQ(Response.feed(encodeEvent(2, "b")).size(), 1U);
+}
+
+TEST(Relay, UsageOfAnotherTypeIsAFaultOfTheTarget) {
+  Relay Response;
+  EXPECT_THROW((void)Response.feed(
+                   "id: 1\ndata: {\"usage\":{\"prompt_tokens\":\"x\"}}\n\n"),
+               std::runtime_error);
+}
+
 TEST(Relay, DiscardsPartialEventBeforeReconnect) {
   Relay Response;
   (void)Response.feed(encodeEvent(1, "a").substr(0, 20));
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -163,6 +163,27 @@
   }
 }
 
+// A stream with wrong bytes in one event was resumed behind that event, and the
+// caller got it as complete without the event and those before it.
+TEST(Platform, SpoiledStreamGoesOnBeforeTheGap) {
+  Fleet TestFleet;
+  ASSERT_TRUE(TestFleet.waitUntilReady());
+  TestFleet.replica(0).CurrentBehavior = UsersReplica::Behavior::SpoiledStream;
+  for (int I = 0; I < 6; ++I) {
+    const auto Streamed = TestFleet.call(withNumber(Chat, I));
+    EXPECT_TRUE(Streamed.Complete);
+    EXPECT_EQ(Streamed.Body, CompleteStream);
+  }
+}
+
+TEST(Platform, SpoiledStreamThatCannotGoOnDoesNotLookWhole) {
+  Fleet TestFleet;
+  ASSERT_TRUE(TestFleet.waitUntilReady());
+  TestFleet.replica(0).CurrentBehavior = TestFleet.replica(1).CurrentBehavior =
+      UsersReplica::Behavior::SpoiledStream;
+  EXPECT_FALSE(TestFleet.call(Chat).Complete);
+}
+
 TEST(Platform, TornStreamThatCannotGoOnDoesNotLookWhole) {
   Fleet TestFleet;
   ASSERT_TRUE(TestFleet.waitUntilReady());
