--- a/src/goldcrestnotch/escrow/admission_gate.hpp
+++ b/src/goldcrestnotch/escrow/admission_gate.hpp
@@ -202,7 +202,7 @@
          {"in_doubt", Sums.InDoubt.count()},
          {"wanted", Sums.Wanted.count()},
          {"ahead", Holder.prefetches(Workspace)},
-         {"record", static_cast<std::int64_t>(Table.newest())},
+         {"record", static_cast<std::int64_t>(Table.newest().Offset)},
          {"refusals", static_cast<std::int64_t>(Unlogged.Refusals)}});
     Unlogged = {Now + RefusalLogInterval, 0};
   }
--- a/src/goldcrestnotch/escrow/holder_table.cpp
+++ b/src/goldcrestnotch/escrow/holder_table.cpp
@@ -11,13 +11,13 @@
 namespace internal {
 
 [[nodiscard]] static bool isNewer(const HolderTable::Entry &Known,
-                                  std::uint64_t Offset,
+                                  store::Position Place,
                                   const std::optional<HolderRecord> &Record) {
   if (!Known.Record || !Record) {
     return Known.Record.has_value();
   }
   return Record->Sequence > Known.Record->Sequence ||
-         (Record->Sequence == Known.Record->Sequence && Offset > Known.Offset);
+         (Record->Sequence == Known.Record->Sequence && Place > Known.Place);
 }
 
 } // namespace internal
@@ -33,10 +33,10 @@
   return It == Sums.end() ? Totals{} : It->second;
 }
 
-void HolderTable::apply(std::uint64_t Offset, const HolderName &Name,
+void HolderTable::apply(store::Position Place, const HolderName &Name,
                         std::optional<HolderRecord> Record) {
   const auto [It, Inserted] = Entries.try_emplace(Name);
-  if (!Inserted && !internal::isNewer(It->second, Offset, Record)) {
+  if (!Inserted && !internal::isNewer(It->second, Place, Record)) {
     return;
   }
   if (It->second.Record) {
@@ -45,8 +45,8 @@
   if (Record) {
     add(*Record, 1);
   }
-  It->second = {Offset, std::move(Record)};
-  Newest = std::max(Newest, Offset);
+  It->second = {Place, std::move(Record)};
+  Newest = std::max(Newest, Place);
 }
 
 void HolderTable::add(const HolderRecord &Record, std::int64_t Sign) {
--- a/src/goldcrestnotch/escrow/holder_table.hpp
+++ b/src/goldcrestnotch/escrow/holder_table.hpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "goldcrestnotch/escrow/record.hpp"
+#include "goldcrestnotch/store/log.hpp"
 
 namespace goldcrestnotch::escrow {
 
@@ -29,7 +30,7 @@
 class HolderTable {
 public:
   struct Entry {
-    std::uint64_t Offset = 0;
+    store::Position Place;
     std::optional<HolderRecord> Record; ///< Absent once it has been dropped.
   };
 
@@ -39,14 +40,14 @@
   /// @brief The newest record of a holder; null if it has none.
   [[nodiscard]] const HolderRecord *find(const HolderName &Name) const;
   [[nodiscard]] Totals totals(const WorkspaceId &Workspace) const;
-  /// @brief Greatest offset of a record applied, of any holder.
-  [[nodiscard]] std::uint64_t newest() const noexcept { return Newest; }
+  /// @brief Latest position of a record applied, of any holder.
+  [[nodiscard]] store::Position newest() const noexcept { return Newest; }
 
   /// @brief Applies a record. A record that is not newer than the known one of
   /// the same holder is ignored, and so is any record of a holder that was
   /// dropped: only processes that have ended are.
   /// @param Record Nothing if the holder's record was dropped.
-  void apply(std::uint64_t Offset, const HolderName &Name,
+  void apply(store::Position Place, const HolderName &Name,
              std::optional<HolderRecord> Record);
 
 private:
@@ -56,7 +57,7 @@
 
   std::map<HolderName, Entry> Entries;
   std::map<WorkspaceId, Totals> Sums;
-  std::uint64_t Newest = 0;
+  store::Position Newest;
 };
 
 } // namespace goldcrestnotch::escrow
--- a/src/goldcrestnotch/escrow/lenders.cpp
+++ b/src/goldcrestnotch/escrow/lenders.cpp
@@ -15,13 +15,13 @@
 /// How long a VM that did not reply is left out.
 static constexpr Millis UnresponsiveTimeout{2'000};
 
-/// @brief Offset of the newest record of a VM; zero if it has none.
-[[nodiscard]] static std::uint64_t
-newestOffset(const HolderTable &Table, const std::string &ControlAddress) {
-  std::uint64_t Newest = 0;
+/// @brief Position of the newest record of a VM; the first one if it has none.
+[[nodiscard]] static store::Position
+newestPlace(const HolderTable &Table, const std::string &ControlAddress) {
+  store::Position Newest;
   for (const auto &[Name, Entry] : Table.entries()) {
     if (Entry.Record && Entry.Record->ControlAddress == ControlAddress) {
-      Newest = std::max(Newest, Entry.Offset);
+      Newest = std::max(Newest, Entry.Place);
     }
   }
   return Newest;
@@ -47,7 +47,7 @@
     Tokens Available = Account->second.Drawn - Account->second.Spent;
     const auto LastReply = Replies.find({ControlAddress, Workspace});
     if (LastReply != Replies.end() &&
-        LastReply->second.RecordOffset == Entry.Offset &&
+        LastReply->second.RecordPlace == Entry.Place &&
         Now < LastReply->second.Deadline) {
       Available = LastReply->second.Available;
     }
@@ -69,7 +69,7 @@
                           const WorkspaceId &Workspace, Tokens Available,
                           Instant Now) {
   Replies[{ControlAddress, Workspace}] = {
-      Available, internal::newestOffset(Table, ControlAddress),
+      Available, internal::newestPlace(Table, ControlAddress),
       Now + internal::ReplyLifetime};
 }
 
--- a/src/goldcrestnotch/escrow/lenders.hpp
+++ b/src/goldcrestnotch/escrow/lenders.hpp
@@ -41,7 +41,7 @@
   /// tokens to it.
   struct Reply {
     Tokens Available;
-    std::uint64_t RecordOffset = 0; ///< Newest record of the VM at the time.
+    store::Position RecordPlace; ///< Newest record of the VM at the time.
     Instant Deadline{};
   };
 
--- a/src/goldcrestnotch/escrow/partition_sync.hpp
+++ b/src/goldcrestnotch/escrow/partition_sync.hpp
@@ -190,7 +190,7 @@
         return;
       }
     }
-    Table.apply(Update.Offset, *Name, std::move(Record));
+    Table.apply({Update.Era, Update.Offset}, *Name, std::move(Record));
   }
 
   Log &Store;
--- a/test/goldcrestnotch/escrow/admission_gate_test.cpp
+++ b/test/goldcrestnotch/escrow/admission_gate_test.cpp
@@ -51,7 +51,7 @@
   void drawByOtherVm(std::int64_t Drawn) {
     HolderRecord Record;
     Record.Accounts[Workspace].Drawn = Tokens{Drawn};
-    Partitions.shardOf(Workspace).Table.apply(1, {"b", "boot"}, Record);
+    Partitions.shardOf(Workspace).Table.apply({1, 1}, {"b", "boot"}, Record);
   }
 };
 
--- a/test/goldcrestnotch/escrow/lenders_test.cpp
+++ b/test/goldcrestnotch/escrow/lenders_test.cpp
@@ -17,7 +17,7 @@
   HolderRecord Record;
   Record.ControlAddress = Vm + ":8000";
   Record.Accounts[Workspace] = {Tokens{Available + 5}, Tokens{5}, {}, {}, {}};
-  Table.apply(Offset, {Vm, "boot"}, Record);
+  Table.apply({1, Offset}, {Vm, "boot"}, Record);
 }
 
 TEST(Lenders, RichestIsAskedFirstAndSelfNever) {
--- a/test/goldcrestnotch/escrow/loans_test.cpp
+++ b/test/goldcrestnotch/escrow/loans_test.cpp
@@ -43,7 +43,7 @@
         [](const WorkspaceId &) { return true; });
     holder().markSent(Next);
     EXPECT_TRUE(holder().confirm(Next.Record.Sequence));
-    Partitions.at(0).Table.apply(++Offset, holder().name(), Next.Record);
+    Partitions.at(0).Table.apply({1, ++Offset}, holder().name(), Next.Record);
   }
 
   std::function<void()> OnWriteRequested;
--- a/test/goldcrestnotch/escrow/restored_records_test.cpp
+++ b/test/goldcrestnotch/escrow/restored_records_test.cpp
@@ -31,14 +31,14 @@
 };
 
 TEST_F(RestoredRecords, LostRecordOfAnotherHolderIsWrittenAgain) {
-  Table.apply(7, Other, record(5, 1));
+  Table.apply({1, 7}, Other, record(5, 1));
   ASSERT_EQ(missing().size(), 1U);
   EXPECT_EQ(missing()[0].Key, Other.str());
   EXPECT_EQ(decodeRecord(*missing()[0].Value), record(5, 1));
 }
 
 TEST_F(RestoredRecords, OlderRecordInTheStoreIsReplaced) {
-  Table.apply(7, Other, record(5, 1));
+  Table.apply({1, 7}, Other, record(5, 1));
   Stored = encode(record(4, 1));
   EXPECT_EQ(missing().size(), 1U);
   Stored = encode(record(5, 1));
@@ -46,55 +46,65 @@
 }
 
 TEST_F(RestoredRecords, OwnRecordIsLeftToTheHolder) {
-  Table.apply(7, Self, record(5, 1));
+  Table.apply({1, 7}, Self, record(5, 1));
   EXPECT_TRUE(missing().empty());
 }
 
 TEST_F(RestoredRecords, DroppedHolderThatReturnsIsDeleted) {
-  Table.apply(7, Other, record(5, 1));
-  Table.apply(8, Other, std::nullopt);
+  Table.apply({1, 7}, Other, record(5, 1));
+  Table.apply({1, 8}, Other, std::nullopt);
   Stored = encode(record(5, 1));
   ASSERT_EQ(missing().size(), 1U);
   EXPECT_FALSE(missing()[0].Value);
 }
 
 TEST_F(RestoredRecords, HolderThatWroteInTheEraNeedsNoConfirmation) {
-  Table.apply(7, Other, record(5, 1));
+  Table.apply({1, 7}, Other, record(5, 1));
   EXPECT_FALSE(restored(Table, Era));
-  Table.apply(1, Other, record(6, Era));
+  Table.apply({Era, 1}, Other, record(6, Era));
   EXPECT_TRUE(restored(Table, Era));
   Stored = encode(record(6, Era));
   EXPECT_TRUE(missing(true).empty());
 }
 
 TEST_F(RestoredRecords, SilentHolderIsConfirmedInTheEra) {
-  Table.apply(7, Other, record(5, 1));
+  Table.apply({1, 7}, Other, record(5, 1));
   Stored = encode(record(5, 1));
   ASSERT_EQ(missing(true).size(), 1U);
   EXPECT_EQ(decodeRecord(*missing(true)[0].Value), record(5, Era));
 }
 
+// A confirmed record was ignored and written again without end while its offset
+// was below the one that the same record had in the era before.
+TEST_F(RestoredRecords, ConfirmationAtALowerOffsetCounts) {
+  Table.apply({1, 7}, Other, record(5, 1));
+  Table.apply({Era, 3}, Other, record(5, Era));
+  EXPECT_TRUE(restored(Table, Era));
+  Stored = encode(record(5, Era));
+  EXPECT_TRUE(missing(true).empty());
+}
+
 TEST_F(RestoredRecords, RecordWithoutAnEraHoldsNothingUp) {
   auto Record = record(5, 1);
   Record.Era.reset();
-  Table.apply(7, Other, Record);
+  Table.apply({1, 7}, Other, Record);
   EXPECT_TRUE(restored(Table, Era));
 }
 
 TEST(HolderTable, OlderRecordOfARestoredStoreIsIgnored) {
   HolderTable Table;
-  Table.apply(7, Other, record(5, 1));
-  Table.apply(9, Other, record(4, 1));
+  Table.apply({1, 7}, Other, record(5, 1));
+  Table.apply({1, 9}, Other, record(4, 1));
   EXPECT_EQ(Table.find(Other)->Sequence, 5U);
-  Table.apply(3, Other, record(6, Era));
+  Table.apply({Era, 3}, Other, record(6, Era));
   EXPECT_EQ(Table.find(Other)->Sequence, 6U);
 }
 
 TEST(HolderTable, DroppedHolderDoesNotReturn) {
   HolderTable Table;
-  Table.apply(7, Other, record(5, 1));
-  Table.apply(8, Other, std::nullopt);
-  Table.apply(9, Other, record(5, 1));
+  Table.apply({1, 7}, Other, record(5, 1));
+  Table.apply({1, 8}, Other, std::nullopt);
+  Table.apply({1, 9}, Other, record(5, 1));
   EXPECT_EQ(Table.find(Other), nullptr);
 }
 
--- a/test/platform/restored_store_test.cpp
+++ b/test/platform/restored_store_test.cpp
@@ -77,6 +77,53 @@
   EXPECT_EQ(TestFleet.replica(0).runs(), RunsBefore);
 }
 
+// An order right after the return of the store was never answered: its offset
+// was not above that of the order before, which the copy had lost.
+TEST_F(PlatformRestoredStore, OrderRightAfterTheReturnIsAnswered) {
+  const auto Order = [&](const std::string &Version) {
+    TestFleet.Store.put("keyed.op", "rollout/engines",
+                        R"({"service":"engines","target":")" + Version +
+                            R"(","durationS":3})");
+  };
+  const auto Answered = [&](const std::string &Version) {
+    const auto Text = TestFleet.Store.value("keyed.status", "rollout/engines");
+    return Text && Text->find('"' + Version + '"') != std::string::npos &&
+           Text->find("rolled_back") != std::string::npos;
+  };
+  TestFleet.Store.takeCopy();
+  TestFleet.publish(2, 1'000'000);
+  TestFleet.publish(3, 1'000'000);
+  Order("v2");
+  ASSERT_TRUE(TestFleet.eventually([&] { return Answered("v2"); }));
+  TestFleet.Store.Down = true;
+  std::this_thread::sleep_for(Away);
+  TestFleet.Store.restore();
+  TestFleet.Store.Down = false;
+  Order("v3");
+  EXPECT_TRUE(TestFleet.eventually([&] { return Answered("v3"); }, 8'000));
+  Order("v4");
+  EXPECT_TRUE(TestFleet.eventually([&] { return Answered("v4"); }, 8'000));
+}
+
+// An order that the operator writes again after the return is not a new one.
+TEST_F(PlatformRestoredStore, OrderThatReturnsDoesNotBeginAnew) {
+  TestFleet.Store.takeCopy();
+  TestFleet.Store.put("keyed.op", "rollout/engines",
+                      R"({"service":"engines","target":"v2","durationS":2})");
+  const auto Logged = [&](int Vm, const std::string &Text) {
+    return TestFleet.daemon(Vm).output().find(Text) != std::string::npos;
+  };
+  ASSERT_TRUE(TestFleet.eventually(
+      [&] { return Logged(0, "move.ended") && Logged(1, "move.ended"); }));
+  restoreStore();
+  for (int Vm = 0; Vm < 2; ++Vm) {
+    EXPECT_TRUE(TestFleet.eventually(
+        [&] { return Logged(Vm, "move.order_restored"); }));
+    const auto Output = TestFleet.daemon(Vm).output();
+    EXPECT_EQ(Output.find("move.ordered"), Output.rfind("move.ordered"));
+  }
+}
+
 TEST_F(PlatformRestoredStore, BudgetIsServedAgainAndNeverExceeded) {
   constexpr int PaidChats = 60;
   TestFleet.publish(2, TokensPerChat * PaidChats + 60);
