Fault: the messages of all callers and targets together have a bound

The limits on single messages don't bound their sum: with 4 MiB a request, 65 callers that send long bodies slowly would take a VM over its 260 MB. An idle connection also kept the body of its last request.

BufferBudget.*, CallerConnectionTest.*

--- a/src/goldcrestnotch/proxy/caller_connection.cpp
+++ b/src/goldcrestnotch/proxy/caller_connection.cpp
@@ -21,6 +21,8 @@
 
 /// Size of the read that waits for a new request.
 static constexpr std::size_t FirstReadBytes = 4'096;
+/// A body is held as it was received and as it is sent to a target.
+static constexpr std::size_t BodyCopies = 2;
 
 /// @brief Copies the header fields of a response, except those that apply to
 /// one connection only and the content length.
@@ -67,6 +69,9 @@
                                   const LoopDelay &Delay) {
   boost::system::error_code Failure;
   Started = false;
+  // An idle connection holds no memory for its last request.
+  Request = WireRequest{};
+  (void)RequestShare.resize(0);
   Buffer.admit(Limits.MaxHeaderBytes);
   if (Buffer.size() == 0) {
     Socket.expires_after(Limits.IdleTimeout);
@@ -77,24 +82,36 @@
       return ReadResult::Closed;
     }
   }
-  wire::request_parser<wire::string_body> Parser;
-  Parser.header_limit(Limits.MaxHeaderBytes);
-  Parser.body_limit(Limits.MaxBodyBytes);
+  Parser Received;
+  Received.header_limit(Limits.MaxHeaderBytes);
+  Received.body_limit(Limits.MaxBodyBytes);
   Socket.expires_after(Limits.HeaderTimeout);
-  wire::async_read_header(Socket, Buffer, Parser, Yield[Failure]);
+  wire::async_read_header(Socket, Buffer, Received, Yield[Failure]);
   Arrival = Delay.arrival(DecisionClock::now(), std::exchange(First, false));
-  if (!Failure && !Parser.is_done()) {
-    Socket.expires_after(Limits.IdleTimeout);
-    wire::async_read(Socket, Buffer, Parser, Yield[Failure]);
-  }
+  Socket.expires_after(Limits.IdleTimeout);
+  const auto Result =
+      Failure ? internal::resultOf(Failure) : readBody(Yield, Received);
   Socket.expires_never();
-  if (Failure) {
+  if (Result != ReadResult::Complete) {
     KeepAlive = false;
-    return internal::resultOf(Failure);
+    return Result;
+  }
+  KeepAlive = KeepAlive && Received.get().keep_alive();
+  Request = Received.release();
+  return Result;
+}
+
+ReadResult CallerConnection::readBody(asio::yield_context Yield,
+                                      Parser &Received) {
+  boost::system::error_code Failure;
+  while (!Failure && !Received.is_done()) {
+    wire::async_read_some(Socket, Buffer, Received, Yield[Failure]);
+    if (!RequestShare.resize(internal::BodyCopies *
+                             Received.get().body().size())) {
+      return ReadResult::BuffersFull;
+    }
   }
-  KeepAlive = KeepAlive && Parser.get().keep_alive();
-  Request = Parser.release();
-  return ReadResult::Complete;
+  return Failure ? internal::resultOf(Failure) : ReadResult::Complete;
 }
 
 void CallerConnection::watch(std::function<void()> Callback) {
--- a/src/goldcrestnotch/proxy/caller_connection.hpp
+++ b/src/goldcrestnotch/proxy/caller_connection.hpp
@@ -11,9 +11,11 @@
 
 #include <boost/asio/spawn.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include "goldcrestnotch/http/read_buffer.hpp"
+#include "goldcrestnotch/proxy/buffer_budget.hpp"
 #include "goldcrestnotch/proxy/loop_delay.hpp"
 #include "goldcrestnotch/proxy/target_connection.hpp"
 #include "goldcrestnotch/routing/configuration.hpp"
@@ -32,12 +34,15 @@
   HeadTooLarge, ///< The head exceeds the configured limit, or a chunk head or
                 ///< the trailer section that of the buffer.
   BodyTooLarge, ///< The body exceeds the configured limit.
+  BuffersFull,  ///< The VM holds too many long messages.
 };
 
 /// @brief A connection from a caller. Only one coroutine uses it.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
 public:
-  explicit CallerConnection(boost::asio::io_context &Loop) : Socket{Loop} {}
+  /// @param Budget Bounds the requests of all callers together.
+  CallerConnection(boost::asio::io_context &Loop, BufferBudget &Budget)
+      : Socket{Loop}, RequestShare{Budget} {}
 
   [[nodiscard]] TcpStream &stream() noexcept { return Socket; }
   /// @brief The last request that was read.
@@ -83,9 +88,17 @@
   void abort();
 
 private:
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  /// @brief Reads the body of a request whose head has been read.
+  [[nodiscard]] ReadResult readBody(boost::asio::yield_context Yield,
+                                    Parser &Received);
+
   TcpStream Socket;
   http::ReadBuffer Buffer;
   WireRequest Request;
+  BufferBudget::Share RequestShare; ///< Of the body of `Request`.
   Instant Arrival{};
   std::function<void()> OnGone;
   bool First = true; ///< No request has been read yet.
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -96,7 +96,8 @@
 
 Exchange::Exchange(ProxyContext &Context, CallerConnection &Caller,
                    asio::yield_context Yield)
-    : Context{Context}, Caller{Caller}, Yield{Yield}, Table{Context.Table} {
+    : Context{Context}, Caller{Caller}, Yield{Yield}, Table{Context.Table},
+      ResponseShare{Context.Buffers} {
   ++Context.InProgress;
 }
 
@@ -523,10 +524,27 @@
   }
 }
 
+bool Exchange::readBody(Upstream &Remote, std::string &Body) {
+  while (!Remote.complete()) {
+    if (!Remote.readSome(Body)) {
+      Cause = Remote.malformed() ? "answer_malformed" : "answer_broken";
+      return false;
+    }
+    if (Body.size() > internal::MaxBodyBytes) {
+      Cause = "answer_too_long";
+      return false;
+    }
+    if (!ResponseShare.resize(Body.size())) {
+      Cause = "buffers_full";
+      return false;
+    }
+  }
+  return true;
+}
+
 AttemptResult Exchange::forwardBuffered(Upstream &Remote) {
   std::string Body;
-  if (!Remote.readAll(Body, internal::MaxBodyBytes)) {
-    Cause = Remote.malformed() ? "answer_malformed" : "answer_broken";
+  if (!readBody(Remote, Body)) {
     return DecisionClock::now() >= Deadline ? AttemptResult::DeadlineExceeded
                                             : AttemptResult::ResponseLost;
   }
@@ -559,6 +577,7 @@
                                       : Deadline));
     const bool ReadOk = Remote.readSome(Bytes);
     const auto Batch = Framer.feed(Bytes);
+    const bool Held = ResponseShare.resize(Framer.bufferedBytes());
     EventsForwarded += Batch.Count;
     if (Batch.Count > 0) {
       recordEventTimes();
@@ -586,6 +605,10 @@
       Cause = Batch.Oversized ? "event_endless" : "event_missing";
       return AttemptResult::ResponseLost;
     }
+    if (!Held) {
+      Cause = "buffers_full";
+      return AttemptResult::ResponseLost;
+    }
     if (!ReadOk) {
       recordBreak(Remote);
       Cause = Remote.malformed() ? "answer_malformed" : "stream_broken";
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -54,6 +54,10 @@
   [[nodiscard]] bool continuesStream(Upstream &Remote) const;
   /// @brief Forwards a stream of events as they arrive.
   [[nodiscard]] AttemptResult relayStream(Upstream &Remote);
+  /// @brief Reads the whole body of a response that is buffered.
+  /// @return False if the connection fails or the body is too long; `Cause`
+  /// says which.
+  [[nodiscard]] bool readBody(Upstream &Remote, std::string &Body);
   /// @brief Forwards a response after all of it has been received.
   [[nodiscard]] AttemptResult forwardBuffered(Upstream &Remote);
   /// @brief Chooses a target for the next attempt, and obtains a permit if it
@@ -130,6 +134,7 @@
   Instant Deadline{}; ///< When the caller must have the whole response.
   std::string StreamContentType; ///< As stated to the caller.
   EventFramer Framer;
+  BufferBudget::Share ResponseShare; ///< Of the bytes that are buffered.
   std::uint64_t EventsForwarded = 0; ///< Events with an id.
   Instant AttemptSent{};             ///< When the last attempt was sent.
   Instant HeadReceived{};      ///< When the response to it began to arrive.
--- a/src/goldcrestnotch/proxy/listener.cpp
+++ b/src/goldcrestnotch/proxy/listener.cpp
@@ -34,6 +34,9 @@
 static constexpr int MalformedStatus = 400;
 static constexpr int BodyTooLargeStatus = 413;
 static constexpr int HeadTooLargeStatus = 431;
+static constexpr int BuffersFullStatus = 503;
+/// Seconds after which a caller may send a long request again.
+static constexpr const char *BuffersFullRetryAfter = "1";
 /// Size of the receive buffer of a connection. It bounds the bytes in flight:
 /// many callers with long prompts must not delay the store's responses on a
 /// link of low bandwidth.
@@ -79,7 +82,8 @@
 void Listener::accept(asio::yield_context Yield) {
   asio::steady_timer Timer{Context.Loop};
   while (Acceptor.is_open()) {
-    auto Caller = std::make_shared<CallerConnection>(Context.Loop);
+    auto Caller =
+        std::make_shared<CallerConnection>(Context.Loop, Context.Buffers);
     boost::system::error_code Failure;
     if (Connections < MaxConnections) {
       Acceptor.async_accept(Caller->stream().socket(), Yield[Failure]);
@@ -101,7 +105,8 @@
   for (int I = 0; !Failure && I < internal::MaxAcceptsPerTurn &&
                   Connections < MaxConnections;
        ++I) {
-    auto Caller = std::make_shared<CallerConnection>(Context.Loop);
+    auto Caller =
+        std::make_shared<CallerConnection>(Context.Loop, Context.Buffers);
     Acceptor.accept(Caller->stream().socket(), Failure);
     if (!Failure) {
       startServing(Caller);
@@ -148,6 +153,8 @@
 void Listener::reject(CallerConnection &Caller, ReadResult Result,
                       asio::yield_context Yield) {
   int Status = 0;
+  std::string Cause = "malformed_request";
+  WireFields Fields;
   switch (Result) {
   case ReadResult::Complete:
   case ReadResult::Closed:
@@ -161,13 +168,20 @@
   case ReadResult::BodyTooLarge:
     Status = internal::BodyTooLargeStatus;
     break;
+  case ReadResult::BuffersFull:
+    Status = internal::BuffersFullStatus;
+    Cause = "buffers_full";
+    Fields.set(wire::field::retry_after, internal::BuffersFullRetryAfter);
+    break;
   }
-  Context.Measured.count("malformed_requests_total");
-  logRequest(false, {{"status", static_cast<std::int64_t>(Status)},
-                     {"cause", "malformed_request"}});
+  Context.Measured.count(Result == ReadResult::BuffersFull
+                             ? "long_requests_refused_total"
+                             : "malformed_requests_total");
+  logRequest(false,
+             {{"status", static_cast<std::int64_t>(Status)}, {"cause", Cause}});
   const auto Deadline = DecisionClock::now() + internal::RejectTimeout;
   Caller.disableKeepAlive();
-  Caller.reply(Yield, Status, WireFields{},
+  Caller.reply(Yield, Status, Fields,
                R"({"error":"the request could not be read"})", Deadline);
   // Closing a socket with unread bytes would reset the connection and could
   // discard the response before the caller has read it.
--- a/src/goldcrestnotch/proxy/proxy_context.hpp
+++ b/src/goldcrestnotch/proxy/proxy_context.hpp
@@ -16,6 +16,7 @@
 #include "goldcrestnotch/backend/target_set.hpp"
 #include "goldcrestnotch/escrow/admission_gate.hpp"
 #include "goldcrestnotch/notices/shared_quarantine.hpp"
+#include "goldcrestnotch/proxy/buffer_budget.hpp"
 #include "goldcrestnotch/proxy/header_names.hpp"
 #include "goldcrestnotch/proxy/loop_delay.hpp"
 #include "goldcrestnotch/proxy/target_connection.hpp"
@@ -36,6 +37,7 @@
   escrow::AdmissionGate &Budgets;
   ratelimit::Permits &Permits;
   notices::SharedQuarantine &Quarantine;
+  BufferBudget &Buffers;
   Metrics &Measured;
   /// Null until the first configuration has been received.
   std::shared_ptr<const routing::RouteTable> Table;
--- /dev/null
+++ b/test/goldcrestnotch/proxy/caller_connection_test.cpp
@@ -0,0 +1,118 @@
+/// @file
+/// Tests of reading requests of callers that send much, or without end.
+
+#include "goldcrestnotch/proxy/caller_connection.hpp"
+
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include "raw_peer.hpp"
+
+namespace goldcrestnotch::proxy {
+namespace {
+
+using boost::asio::ip::tcp;
+
+/// What a caller can send to a connection that reads nothing more: the socket
+/// buffers of both sides, which the kernel sizes.
+constexpr std::size_t MaxUnreadBytes = 12U << 20U;
+const std::string Filler(65'536, '#');
+const std::string ChunkedHead =
+    "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string requestOf(std::size_t BodyBytes) {
+  return "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+         std::to_string(BodyBytes) + "\r\n\r\n" + std::string(BodyBytes, 'x');
+}
+
+class CallerConnectionTest : public testing::Test {
+protected:
+  CallerConnectionTest()
+      : Acceptor{Loop, {boost::asio::ip::address_v4::loopback(), 0}} {
+    Limits.MaxBodyBytes = 1U << 20U;
+    Sender.connect(Acceptor.local_endpoint());
+    Acceptor.accept(Caller->stream().socket());
+  }
+
+  /// @brief Reads the next request.
+  [[nodiscard]] ReadResult read() {
+    auto Result = ReadResult::Closed;
+    boost::asio::spawn(Loop, [&](boost::asio::yield_context Yield) {
+      Result = Caller->read(Yield, Limits, LoopDelay{});
+    });
+    Loop.restart();
+    Loop.run();
+    return Result;
+  }
+  /// @brief Expects that a part of a request without end is not buffered.
+  void expectCutOff(const standin::RawBytes &Request) {
+    std::size_t Sent = 0;
+    std::thread Writer{[&] { Sent = standin::sendRaw(Sender, Request); }};
+    EXPECT_EQ(read(), ReadResult::HeadTooLarge);
+    Caller->stream().close();
+    Writer.join();
+    EXPECT_LE(Sent, MaxUnreadBytes);
+  }
+
+  boost::asio::io_context Loop;
+  BufferBudget Budget{100'000};
+  routing::CallerLimits Limits;
+  std::shared_ptr<CallerConnection> Caller =
+      std::make_shared<CallerConnection>(Loop, Budget);
+  tcp::acceptor Acceptor;
+  tcp::socket Sender{Loop};
+};
+
+TEST_F(CallerConnectionTest, HeadWithoutEndIsCutOff) {
+  expectCutOff({"POST / HTTP/1.1\r\n", "X-Noise: 0123456789012345678\r\n"});
+}
+
+TEST_F(CallerConnectionTest, ChunkHeadWithoutEndIsCutOff) {
+  expectCutOff({ChunkedHead + "1\r\nx\r\n", Filler});
+}
+
+TEST_F(CallerConnectionTest, ChunkExtensionWithoutEndIsCutOff) {
+  expectCutOff({ChunkedHead + "1;x=", Filler});
+}
+
+TEST_F(CallerConnectionTest, TrailerSectionWithoutEndIsCutOff) {
+  expectCutOff({ChunkedHead + "0\r\n", "X-Noise: 0123456789012345678\r\n"});
+}
+
+TEST_F(CallerConnectionTest, ChunkExtensionsAndTrailersAreNoFault) {
+  boost::asio::write(Sender,
+                     boost::asio::buffer(ChunkedHead +
+                                         "2;part=\"1\"\r\nab\r\n1\r\nc\r\n"
+                                         "0;last\r\nX-Sum: 1\r\n\r\n"));
+  EXPECT_EQ(read(), ReadResult::Complete);
+  EXPECT_EQ(Caller->request().body(), "abc");
+}
+
+// A few hundred callers with long bodies would exhaust the memory of a VM.
+TEST_F(CallerConnectionTest, LongBodyIsRefusedWhileTheBuffersAreFull) {
+  BufferBudget::Share Other{Budget};
+  ASSERT_TRUE(Other.resize(90'000));
+  boost::asio::write(Sender, boost::asio::buffer(requestOf(40'000)));
+  EXPECT_EQ(read(), ReadResult::BuffersFull);
+}
+
+TEST_F(CallerConnectionTest, ShortBodyIsReadWhileTheBuffersAreFull) {
+  BufferBudget::Share Other{Budget};
+  ASSERT_TRUE(Other.resize(100'000));
+  boost::asio::write(Sender, boost::asio::buffer(requestOf(4'000)));
+  EXPECT_EQ(read(), ReadResult::Complete);
+}
+
+TEST_F(CallerConnectionTest, BodyIsHeldUntilTheNextRequestIsAwaited) {
+  boost::asio::write(Sender, boost::asio::buffer(requestOf(40'000)));
+  EXPECT_EQ(read(), ReadResult::Complete);
+  EXPECT_GE(Budget.used(), 40'000U);
+  boost::asio::write(Sender, boost::asio::buffer(requestOf(100)));
+  EXPECT_EQ(read(), ReadResult::Complete);
+  EXPECT_EQ(Budget.used(), 0U);
+}
+
+} // namespace
+} // namespace goldcrestnotch::proxy
