LOST: the leaving of a caller doesn't close a connection that another request uses

A request ended with 502, or twice at its target, when the caller before it on the same target's connection closed its side while its own response was still being written.

Cause: the connection goes back into the pool before the response is written, but the watch on the caller, which closes it, lasted until the write had ended.

Why it works: releaseTarget ends the watch and the use of the connection together.

--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -399,12 +399,11 @@
     const internal::ActiveConnection Waiting{Context, Connection};
     Result = receiveResponse(Remote);
   }
-  Caller.unwatch();
+  releaseTarget(Remote);
   if (Context.Ending && Result == AttemptResult::ResponseLost) {
     Cause = "shutting_down";
     Result = AttemptResult::DeadlineExceeded;
   }
-  Remote.release(Context.Connections);
   if (Result == AttemptResult::NotExecuted ||
       Result == AttemptResult::WrongTarget) {
     State.MayHaveRun = MayHaveRunBefore;
@@ -452,6 +451,12 @@
   return forwardBuffered(Remote);
 }
 
+void Exchange::releaseTarget(Upstream &Remote) {
+  // Another request may use the connection from now on.
+  Caller.unwatch();
+  Remote.release(Context.Connections);
+}
+
 bool Exchange::continuesStream(Upstream &Remote) const {
   return Remote.status() / 100 == 2 &&
          view(Remote.fields()[wire::field::content_type]) == StreamContentType;
@@ -557,7 +562,7 @@
   }
   ResponseStatus = Remote.status();
   const WireFields Fields = Remote.fields();
-  Remote.release(Context.Connections);
+  releaseTarget(Remote);
   Caller.reply(Yield, ResponseStatus, Fields, Body,
                Deadline + internal::DefaultTimeout);
   return AttemptResult::Completed;
@@ -626,7 +631,7 @@
   }
   Caller.write(Yield, Framer.takeHeld(), Deadline);
   recordSoundAnswer();
-  Remote.release(Context.Connections);
+  releaseTarget(Remote);
   Caller.finish(Yield, Deadline);
   return AttemptResult::Completed;
 }
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -49,6 +49,9 @@
   attempt(const std::shared_ptr<backend::Target> &Target);
   /// @brief Receives and forwards the response to an attempt.
   [[nodiscard]] AttemptResult receiveResponse(Upstream &Remote);
+  /// @brief Ends the use of a target's connection. The caller's leaving does
+  /// not close it any more.
+  void releaseTarget(Upstream &Remote);
   /// @brief Whether a response can follow the part of a stream that the caller
   /// already has.
   [[nodiscard]] bool continuesStream(Upstream &Remote) const;
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -184,6 +184,36 @@
   EXPECT_FALSE(TestFleet.call(Chat).Complete);
 }
 
+// The leaving of a caller whose response was still being written closed the
+// connection of its target, which another request already used.
+TEST(Platform, CallerThatLeavesDoesNotCutTheNextRequestOfItsTarget) {
+  Fleet TestFleet{1};
+  ASSERT_TRUE(TestFleet.waitUntilReady());
+  TestFleet.replica(0).CurrentBehavior = UsersReplica::Behavior::LargeBody;
+  TestFleet.replica(0).EventDelayMs = 200;
+  boost::asio::io_context Context;
+  boost::asio::ip::tcp::socket Slow{Context, boost::asio::ip::tcp::v4()};
+  Slow.set_option(boost::asio::socket_base::receive_buffer_size(4'096));
+  Slow.connect(
+      {boost::asio::ip::make_address(Fleet::address(0)), Fleet::CallerPort});
+  boost::asio::write(Slow, boost::asio::buffer(
+                               std::string{"POST /order/1 HTTP/1.1\r\nHost: "} +
+                               Fleet::Host +
+                               "\r\nX-Goldcrestnotch-Attempt-Id: s1\r\n"
+                               "Authorization: Bearer key-1\r\n"
+                               "Content-Length: 0\r\n\r\n"));
+  ASSERT_TRUE(TestFleet.eventually([&] { return TestFleet.runs() == 1; }));
+  std::this_thread::sleep_for(std::chrono::milliseconds{100});
+  auto Running =
+      std::async(std::launch::async, [&] { return TestFleet.call(Chat); });
+  ASSERT_TRUE(TestFleet.eventually([&] { return TestFleet.runs() == 2; }));
+  Slow.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+  const auto Result = Running.get();
+  EXPECT_EQ(Result.Status, 200);
+  EXPECT_EQ(Result.Body, CompleteStream);
+  EXPECT_EQ(TestFleet.runs(), 2U);
+}
+
 TEST(Platform, TornStreamThatCannotGoOnDoesNotLookWhole) {
   Fleet TestFleet;
   ASSERT_TRUE(TestFleet.waitUntilReady());
