FAULT, LOST: a process survives its log's reader, early signals and held addresses

Cause: default dispositions of signals, a blocking log stream, signal handlers that were installed after all addresses were bound, and a start that tried once.

Now SIGPIPE and early SIGHUP are ignored; a log line is written only if the stream takes it at once, and lost lines are counted in the next one; Launcher handles signals before any address is bound, and waits for addresses (30 s) and valid settings (2 s); an exception ends one handler, not the loop. The accept queue is emptied before the port is closed in a planned stop, and servers pause after a failed accept.

Tried and sound before: the store away at the start; SIGTERM at any moment once handlers are there. Which of these the users met can't be told.

--- a/app/goldcrestnotchd/main.cpp
+++ b/app/goldcrestnotchd/main.cpp
@@ -10,9 +10,10 @@
 #include <boost/system/system_error.hpp>
 
 #include "goldcrestnotch/kernel/kernel.hpp"
+#include "goldcrestnotch/kernel/process_setup.hpp"
 #include "goldcrestnotch/settings/settings.hpp"
 #include "goldcrestnotch/telemetry/log.hpp"
-#include "service.hpp"
+#include "launcher.hpp"
 
 namespace {
 
@@ -83,12 +84,16 @@
 } // namespace
 
 int main(int Count, char **Words) {
+  setUpProcess();
   try {
     return run(Count, Words);
   } catch (const SettingsError &Failure) {
     std::cerr << Failure.what() << '\n';
   } catch (const po::error &Failure) {
     std::cerr << "goldcrestnotchd: " << Failure.what() << '\n';
+  } catch (const std::exception &Failure) {
+    std::cerr << "goldcrestnotchd: " << Failure.what() << '\n';
+    return ExitFailed;
   }
   return ExitUsage;
 }
--- a/scenarios/runner/process.cpp
+++ b/scenarios/runner/process.cpp
@@ -7,8 +7,10 @@
 #include <chrono>
 #include <csignal>
 #include <stdexcept>
+#include <utility>
 
 #include <fcntl.h>
+#include <poll.h>
 #include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -59,13 +61,39 @@
   signal(SIGCONT);
   signal(SIGKILL);
   (void)wait(-1);
-  Reader.join();
-  close(Pipe);
+  // The end of the process ends the output, unless nobody reads it any more.
+  if (Reader.joinable()) {
+    Reader.join();
+  }
+  if (Pipe >= 0) {
+    close(Pipe);
+  }
+}
+
+void Process::stopReading() {
+  Reading = false;
+  if (Reader.joinable()) {
+    Reader.join();
+  }
+}
+
+void Process::stallOutput() {
+  stopReading();
+  fcntl(Pipe, F_SETPIPE_SZ, sysconf(_SC_PAGESIZE));
+}
+
+void Process::closeOutput() {
+  stopReading();
+  close(std::exchange(Pipe, -1));
 }
 
 void Process::read() {
   char Buffer[ReadBytes];
-  while (true) {
+  while (Reading) {
+    pollfd Event{Pipe, POLLIN, 0};
+    if (poll(&Event, 1, PollIntervalMs) == 0) {
+      continue;
+    }
     const auto Result = ::read(Pipe, &Buffer[0], ReadBytes);
     if (Result <= 0 && errno != EINTR) {
       return;
--- a/scenarios/runner/process.hpp
+++ b/scenarios/runner/process.hpp
@@ -36,15 +36,21 @@
   /// @return The exit code, or 128 plus the number of the signal that ended the
   /// process; nothing if it still runs after the timeout.
   [[nodiscard]] std::optional<int> wait(int TimeoutMs);
+  /// @brief Stops reading the output. The pipe then takes one more page.
+  void stallOutput();
+  /// @brief Stops reading the output and closes the reading end of the pipe.
+  void closeOutput();
 
 private:
   void read();
+  void stopReading();
 
   pid_t Id = 0;
-  int Pipe = -1;
+  int Pipe = -1; ///< Reading end of the output; negative once it is closed.
   std::optional<int> ExitCode; ///< Set once the process has been reaped.
   mutable std::mutex Mutex;
   std::string Output; ///< Guarded by `Mutex`.
+  std::atomic<bool> Reading{true};
   std::thread Reader;
 };
 
--- a/src/goldcrestnotch/http/server.cpp
+++ b/src/goldcrestnotch/http/server.cpp
@@ -10,6 +10,7 @@
 #include <set>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -35,6 +36,8 @@
 static constexpr std::size_t LingerChunkBytes = 4'096;
 static constexpr std::size_t MaxLingerBytes = 16'777'216;
 static constexpr Millis LingerTimeout{2'000};
+/// Pause after a failed accept.
+static constexpr Millis AcceptPause{20};
 
 /// @brief An `Exchange` on a Beast stream.
 class StreamExchange final : public Exchange {
@@ -196,6 +199,7 @@
 
 private:
   void accept(asio::yield_context Yield) {
+    asio::steady_timer Pause{Context};
     while (!Draining) {
       auto Socket = std::make_shared<Stream>(asio::make_strand(Context));
       boost::system::error_code Failure;
@@ -204,6 +208,9 @@
         if (!Acceptor.is_open()) {
           return;
         }
+        // It would fail again at once, for example for lack of descriptors.
+        Pause.expires_after(internal::AcceptPause);
+        Pause.async_wait(Yield[Failure]);
         continue;
       }
       if (OpenConnections >= Bounds.MaxConnections) {
--- a/src/goldcrestnotch/kernel/kernel.cpp
+++ b/src/goldcrestnotch/kernel/kernel.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/spawn.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "goldcrestnotch/kernel/run_loop.hpp"
 #include "goldcrestnotch/telemetry/log.hpp"
 
 namespace goldcrestnotch {
@@ -45,6 +46,7 @@
 int Kernel::run() {
   const WorkGuard ControlGuard{Control.get_executor()};
   const WorkGuard TrafficGuard{Traffic.get_executor()};
+  watchSignals();
   PluginRegistry::global().forEach([&](const std::string &Name, auto &Factory) {
     Plugins.emplace_back(Name, Factory(*this));
   });
@@ -53,10 +55,9 @@
     log(LogLevel::Debug, "plugin.started", {{"name", Name}});
   }
   for (std::uint32_t I = 0; I < Configuration.TrafficThreads; ++I) {
-    Threads.emplace_back([this] { Traffic.run(); });
+    Threads.emplace_back([this] { runLoop(Traffic); });
   }
-  watchSignals();
-  Control.run();
+  runLoop(Control);
   Traffic.stop();
   for (auto &Thread : Threads) {
     Thread.join();
@@ -66,13 +67,16 @@
 }
 
 void Kernel::watchSignals() {
-  asio::spawn(Control, [this](asio::yield_context Yield) {
-    asio::signal_set Signals{Control, SIGTERM, SIGINT};
+  // From here on no signal ends the process; one that comes before the loop
+  // runs is kept.
+  const auto Signals =
+      std::make_shared<asio::signal_set>(Control, SIGTERM, SIGINT);
+  asio::spawn(Control, [this, Signals](asio::yield_context Yield) {
     boost::system::error_code ErrorCode;
-    Signals.async_wait(Yield[ErrorCode]);
+    Signals->async_wait(Yield[ErrorCode]);
     beginDrain();
     // A second signal ends the process without waiting for the drain.
-    Signals.async_wait(Yield[ErrorCode]);
+    Signals->async_wait(Yield[ErrorCode]);
     finish();
   });
 }
--- a/src/goldcrestnotch/proxy/listener.cpp
+++ b/src/goldcrestnotch/proxy/listener.cpp
@@ -75,6 +75,9 @@
 }
 
 void Listener::close() {
+  // A request of a caller in the accept queue gets a refusal, not a reset.
+  while (acceptReady() > 0) {
+  }
   boost::system::error_code Ignored; // The acceptor is not used again.
   Acceptor.close(Ignored);
 }
@@ -95,11 +98,12 @@
       continue;
     }
     startServing(Caller);
-    acceptReady();
+    (void)acceptReady();
   }
 }
 
-void Listener::acceptReady() {
+int Listener::acceptReady() {
+  int Accepted = 0;
   boost::system::error_code Failure;
   Acceptor.non_blocking(true, Failure);
   for (int I = 0; !Failure && I < internal::MaxAcceptsPerTurn &&
@@ -110,8 +114,10 @@
     Acceptor.accept(Caller->stream().socket(), Failure);
     if (!Failure) {
       startServing(Caller);
+      ++Accepted;
     }
   }
+  return Accepted;
 }
 
 void Listener::startServing(const std::shared_ptr<CallerConnection> &Caller) {
--- a/src/goldcrestnotch/proxy/listener.hpp
+++ b/src/goldcrestnotch/proxy/listener.hpp
@@ -27,7 +27,8 @@
 
   /// @brief Starts to accept connections and to measure the loop's delay.
   void start();
-  /// @brief Accepts no more connections; open connections are still served.
+  /// @brief Accepts the connections in the accept queue and then no more; open
+  /// connections are still served.
   void close();
 
 private:
@@ -37,7 +38,8 @@
   void startServing(const std::shared_ptr<CallerConnection> &Caller);
   /// @brief Accepts the connections that are already in the accept queue, up to
   /// a limit.
-  void acceptReady();
+  /// @return How many there were.
+  [[nodiscard]] int acceptReady();
   /// @brief Measures the delay of the event loop periodically.
   void probe(boost::asio::yield_context Yield);
   /// @brief Serves the requests of a connection until it ends.
--- a/src/goldcrestnotch/telemetry/log.cpp
+++ b/src/goldcrestnotch/telemetry/log.cpp
@@ -6,12 +6,14 @@
 
 #include <memory>
 
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/spi/loggingevent.h>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include "goldcrestnotch/telemetry/stream_appender.hpp"
 
 namespace goldcrestnotch {
 
@@ -23,7 +25,9 @@
 /// braces.
 class JsonLayout final : public log4cplus::Layout {
 public:
-  explicit JsonLayout(std::string Process) : Process{std::move(Process)} {}
+  /// @param Dropped Number of lines that were dropped since the last one.
+  JsonLayout(std::string Process, std::shared_ptr<std::int64_t> Dropped)
+      : Process{std::move(Process)}, Dropped{std::move(Dropped)} {}
 
   void
   formatAndAppend(log4cplus::tostream &Output,
@@ -36,13 +40,31 @@
         log4cplus::getLogLevelManager().toString(Event.getLogLevel());
     Output << R"({"time_us":)" << Micros << R"(,"level":")" << Level
            << R"(","vm":)" << nlohmann::json(Process).dump() << ','
-           << Event.getMessage() << "}\n";
+           << Event.getMessage();
+    if (const auto Count = std::exchange(*Dropped, 0); Count > 0) {
+      Output << R"(,"dropped":)" << Count;
+    }
+    Output << "}\n";
   }
 
 private:
   std::string Process;
+  std::shared_ptr<std::int64_t> Dropped;
 };
 
+/// Longest text in a log line; others may choose it, such as a name in a
+/// record.
+static constexpr std::size_t MaxTextBytes = 512;
+
+template <typename Type>
+[[nodiscard]] static const Type &shortened(const Type &Value) {
+  return Value;
+}
+[[nodiscard]] static std::string shortened(const std::string &Value) {
+  return Value.size() <= MaxTextBytes ? Value
+                                      : Value.substr(0, MaxTextBytes) + "...";
+}
+
 [[nodiscard]] static log4cplus::LogLevel toLog4cplusLevel(LogLevel Level) {
   switch (Level) {
   case LogLevel::Debug:
@@ -62,11 +84,12 @@
 void startLogging(LogLevel MinLevel, const std::string &Process, LogSink Sink) {
   static const log4cplus::Initializer LibraryInitializer;
   auto Root = log4cplus::Logger::getRoot();
-  log4cplus::SharedAppenderPtr Console{
-      new log4cplus::ConsoleAppender{Sink == LogSink::StandardError, true}};
-  Console->setLayout(std::make_unique<internal::JsonLayout>(Process));
+  const auto Dropped = std::make_shared<std::int64_t>(0);
+  log4cplus::SharedAppenderPtr Stream{new StreamAppender{
+      Sink == LogSink::StandardError ? STDERR_FILENO : STDOUT_FILENO, Dropped}};
+  Stream->setLayout(std::make_unique<internal::JsonLayout>(Process, Dropped));
   Root.removeAllAppenders();
-  Root.addAppender(Console);
+  Root.addAppender(Stream);
   Root.setLogLevel(internal::toLog4cplusLevel(MinLevel));
 }
 
@@ -82,7 +105,9 @@
   for (const auto &FieldList : {Fields, ExtraFields}) {
     for (const auto &Field : FieldList) {
       std::visit(
-          [&](const auto &Value) { Line[std::string{Field.Name}] = Value; },
+          [&](const auto &Value) {
+            Line[std::string{Field.Name}] = internal::shortened(Value);
+          },
           Field.Value);
     }
   }
--- a/test/platform/fleet.hpp
+++ b/test/platform/fleet.hpp
@@ -185,10 +185,16 @@
 
   /// @brief Starts the daemon of a VM; replaces one that has ended.
   void start(int Vm) {
-    const auto File = std::filesystem::temp_directory_path() /
-                      ("goldcrestnotch-" + std::to_string(::getpid()) + "-" +
-                       std::to_string(Vm) + ".toml");
-    std::ofstream{File} << settingsOf(Vm);
+    writeSettings(Vm);
+    startProcess(Vm);
+  }
+  /// @brief Writes the settings file of a VM, or only the first part of it.
+  void writeSettings(int Vm, std::size_t MaxBytes = std::string::npos) const {
+    std::ofstream{settingsFile(Vm)} << settingsOf(Vm).substr(0, MaxBytes);
+  }
+  /// @brief Starts the daemon of a VM with the settings file as it is.
+  void startProcess(int Vm) {
+    const auto File = settingsFile(Vm);
     ::setenv("GOLDCRESTNOTCH_SETTINGS", File.c_str(), 1);
     auto &Daemon = Daemons[static_cast<std::size_t>(Vm)];
     Daemon.reset();
@@ -249,6 +255,8 @@
   static constexpr std::uint16_t ReadyPort = 18'220;
   static constexpr std::uint16_t DirectoryPort = 18'224;
   static constexpr std::uint16_t ControlPort = 18'229;
+  /// First of the ports for datagrams between VMs.
+  static constexpr std::uint16_t FirstPeerPort = 17'340;
 
   /// Never destroyed: its destruction would unwind coroutines that are still
   /// suspended at the end of a test, and these refer to destroyed members.
@@ -258,22 +266,29 @@
   standin::UsersStore Store;
   standin::FaultyLink StoreLink; ///< Proxy between the daemons and the store.
 
-private:
-  /// Each VM has its own loopback address. The process id is part of it, so
-  /// that concurrent test runs use different addresses.
+  /// @brief Address of a VM on loopback. The process id is part of it, so that
+  /// concurrent test runs use different addresses.
   [[nodiscard]] static std::string address(int Vm) {
     const auto Process = static_cast<unsigned>(::getpid());
     return "127." + std::to_string(20 + Process % 200) + "." +
            std::to_string(Process / 200 % 250) + "." + std::to_string(Vm + 1);
   }
 
+private:
+  [[nodiscard]] static std::filesystem::path settingsFile(int Vm) {
+    return std::filesystem::temp_directory_path() /
+           ("goldcrestnotch-" + std::to_string(::getpid()) + "-" +
+            std::to_string(Vm) + ".toml");
+  }
+
   [[nodiscard]] std::string settingsOf(int Vm) const {
     const auto AddressAt = [&](std::uint16_t Port) {
       return "\"" + address(Vm) + ":" + std::to_string(Port) + "\"\n";
     };
     return "nodeName = \"vm-" + std::to_string(Vm) + "\"\nip = \"" +
-           address(Vm) + "\"\nzone = \"zone-a\"\nportRange = [17340, 17355]\n" +
-           "seeds = [\"" + address(0) + ":" + std::to_string(ControlPort) +
+           address(Vm) + "\"\nzone = \"zone-a\"\nportRange = [" +
+           std::to_string(FirstPeerPort) + ", 17355]\n" + "seeds = [\"" +
+           address(0) + ":" + std::to_string(ControlPort) +
            "\"]\nheartbeatMs = 1200\n[listenAddrs]\nfront = " +
            AddressAt(CallerPort) + "ready = " + AddressAt(ReadyPort) +
            "control = " + AddressAt(ControlPort) +
