--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -24,6 +24,8 @@
 /// A daemon must stop within this time of SIGTERM: more than the grace time of
 /// the fleet's settings (`graceS`, 4 s).
 constexpr int ShutdownTimeoutMs = 5'000;
+/// Time in which a started process begins to run.
+constexpr std::chrono::milliseconds LoadTime{10};
 
 } // namespace
 
@@ -49,6 +51,9 @@
   static const std::map<std::string, Fault> FaultsByName{
       {"kill", &FaultInjector::kill},
       {"terminate", &FaultInjector::terminate},
+      {"signals", &FaultInjector::terminateRepeatedly},
+      {"hangup", &FaultInjector::hangUp},
+      {"log-reader", &FaultInjector::abandonLog},
       {"pause", &FaultInjector::pause},
       {"store-down", &FaultInjector::stopStore},
       {"store-loses-answers", &FaultInjector::loseStoreAnswers},
@@ -77,6 +82,7 @@
   while (Clock::now() < EndTime) {
     const auto Now = Clock::now();
     runDueUndos(Now);
+    checkProcesses();
     if (Now >= NextFault) {
       (this->*EnabledFaults[static_cast<std::size_t>(randomBetween(
                   0, static_cast<int>(EnabledFaults.size()) - 1))])();
@@ -105,6 +111,56 @@
     return;
   }
   Fleet.daemon(Vm).signal(SIGTERM);
+  scheduleRestart(Vm);
+}
+
+void FaultInjector::terminateRepeatedly() {
+  const int Vm = acquireVm("signals");
+  if (Vm < 0) {
+    return;
+  }
+  for (const int Number : {SIGHUP, SIGTERM, SIGHUP, SIGINT, SIGTERM}) {
+    Fleet.daemon(Vm).signal(Number);
+    std::this_thread::sleep_for(std::chrono::milliseconds{1});
+  }
+  scheduleRestart(Vm);
+}
+
+void FaultInjector::hangUp() {
+  // The program has to be loaded first.
+  if (Clock::now() - LastVmFault < LoadTime) {
+    return;
+  }
+  const int Vm = randomBetween(0, static_cast<int>(VmsInUse.size()) - 1);
+  recordEvent("hangup vm-" + std::to_string(Vm));
+  Fleet.daemon(Vm).signal(SIGHUP);
+}
+
+void FaultInjector::abandonLog() {
+  const int Vm = randomBetween(0, static_cast<int>(VmsInUse.size()) - 1);
+  const bool Closes = randomBetween(0, 1) == 1;
+  recordEvent((Closes ? "close log of vm-" : "stall log of vm-") +
+              std::to_string(Vm));
+  if (Closes) {
+    Fleet.daemon(Vm).closeOutput();
+  } else {
+    Fleet.daemon(Vm).stallOutput();
+  }
+}
+
+void FaultInjector::checkProcesses() {
+  for (std::size_t I = 0; I < VmsInUse.size(); ++I) {
+    const int Vm = static_cast<int>(I);
+    const auto Code = VmsInUse[I] ? std::nullopt : Fleet.daemon(Vm).wait(0);
+    if (Code) {
+      Checker.addViolation("vm-" + std::to_string(Vm) +
+                           " ended by itself with " + std::to_string(*Code));
+      restart(Vm);
+    }
+  }
+}
+
+void FaultInjector::scheduleRestart(int Vm) {
   scheduleUndo(ShutdownTimeoutMs, ShutdownTimeoutMs + 500, [this, Vm] {
     if (!Fleet.daemon(Vm).wait(0)) {
       Checker.addViolation("vm-" + std::to_string(Vm) +
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -41,6 +41,12 @@
   [[nodiscard]] static const std::map<std::string, Fault> &faults();
   void kill();
   void terminate();
+  /// @brief Stops a VM by several signals that overlap.
+  void terminateRepeatedly();
+  /// @brief Lets a VM read its settings again, whatever state it is in.
+  void hangUp();
+  /// @brief Stops reading the log of a VM, or closes it, until it is restarted.
+  void abandonLog();
   void pause();
   void stopStore();
   void loseStoreAnswers();
@@ -67,6 +73,12 @@
   /// for a random time.
   void disruptLink(standin::FaultyLink &Link, const std::string &LinkName,
                    int MaxDelayMs);
+  /// @brief Expects the process of a VM that was stopped to end in time, and
+  /// restarts it.
+  void scheduleRestart(int Vm);
+  /// @brief Reports processes that have ended although no fault ended them, and
+  /// restarts them.
+  void checkProcesses();
   /// @brief Restarts the daemon of a VM and makes the VM available again.
   void restart(int Vm);
   /// @brief Schedules the end of a fault after a random delay.
