--- a/src/goldcrestnotch/http/fwd.hpp
+++ b/src/goldcrestnotch/http/fwd.hpp
@@ -12,5 +12,6 @@
 class Exchange;
 class Server;
 class Client;
+class ReadBuffer;
 
 } // namespace goldcrestnotch::http
--- a/src/goldcrestnotch/http/server.cpp
+++ b/src/goldcrestnotch/http/server.cpp
@@ -164,7 +164,11 @@
                                       Local.Port};
     Acceptor.open(LocalEndpoint.protocol());
     Acceptor.set_option(asio::socket_base::reuse_address(true));
-    Acceptor.bind(LocalEndpoint);
+    boost::system::error_code Failure;
+    Acceptor.bind(LocalEndpoint, Failure);
+    if (Failure) {
+      throw boost::system::system_error{Failure, "cannot bind " + Local.str()};
+    }
     Acceptor.listen();
     Port = Acceptor.local_endpoint().port();
   }
--- a/src/goldcrestnotch/proxy/fwd.hpp
+++ b/src/goldcrestnotch/proxy/fwd.hpp
@@ -13,5 +13,6 @@
 class ConnectionPool;
 class Listener;
 class Upstream;
+class BufferBudget;
 
 } // namespace goldcrestnotch::proxy
--- a/src/goldcrestnotch/proxy/listener.cpp
+++ b/src/goldcrestnotch/proxy/listener.cpp
@@ -52,7 +52,11 @@
   Acceptor.set_option(asio::socket_base::reuse_address(true));
   Acceptor.set_option(
       asio::socket_base::receive_buffer_size(internal::ReceiveBufferBytes));
-  Acceptor.bind(Local);
+  boost::system::error_code Failure;
+  Acceptor.bind(Local, Failure);
+  if (Failure) {
+    throw boost::system::system_error{Failure, "cannot bind " + Where.str()};
+  }
   Acceptor.listen();
 }
 
--- a/src/goldcrestnotch/rollout/fwd.hpp
+++ b/src/goldcrestnotch/rollout/fwd.hpp
@@ -13,5 +13,6 @@
 class RolloutService;
 class SlowResponseDetector;
 class TrafficShift;
+class OrderHistory;
 
 } // namespace goldcrestnotch
--- a/src/goldcrestnotch/stream/event_framer.hpp
+++ b/src/goldcrestnotch/stream/event_framer.hpp
@@ -148,9 +148,10 @@
 
   void appendUnnumbered(std::string_view Event, EventBatch &Batch) {
     const bool Comment = Event.starts_with(':');
-    // The first event of a stream does not tell whether others have numbers.
-    const bool Undecided = !Unnumbered && Held.empty();
-    if (numbered() ? !Comment || !Held.empty() : Undecided && !Comment) {
+    // The first event does not tell yet whether the others have numbers; a
+    // second one without a number does.
+    const bool First = !Unnumbered && Held.empty();
+    if (Comment ? !Held.empty() : numbered() || First) {
       Held += Event;
       return;
     }
