Events that arrive byte by byte take linear time

Found by walking "slowly, a byte now and then": an event without end in chunks of a byte took 2.6 s of processor time for 250,000 bytes, in a VM that has a quarter of a core; all other requests wait for that loop. EventFramer searched the whole buffer for the end of the event with each byte. No caller has reported it.

--- a/src/goldcrestnotch/stream/event_framer.hpp
+++ b/src/goldcrestnotch/stream/event_framer.hpp
@@ -55,6 +55,7 @@
   /// An incomplete event is discarded, since it is sent again.
   void beginConnection() {
     Buffer.clear();
+    Searched = 0;
     Held.clear();
     ConnectionId = 0;
   }
@@ -74,6 +75,7 @@
       Begin = End;
     }
     Buffer.erase(0, Begin);
+    Searched = Buffer.size();
     Result.Oversized = bufferedBytes() > MaxEventBytes;
     return Result;
   }
@@ -88,8 +90,13 @@
   /// @brief Offset behind the blank line that ends the event at `Begin`, or
   /// `npos` if the event is incomplete.
   [[nodiscard]] std::size_t eventEnd(std::size_t Begin) const {
-    const auto LineFeeds = Buffer.find("\n\n", Begin);
-    const auto CarriageReturns = Buffer.find("\r\n\r\n", Begin);
+    // Bytes that were searched before are not searched again, so an event that
+    // arrives byte by byte takes no more time than one that arrives at once.
+    constexpr std::string_view LongestEnd = "\r\n\r\n";
+    const auto Overlap = std::min(Searched, LongestEnd.size() - 1);
+    const auto From = std::max(Begin, Searched - Overlap);
+    const auto LineFeeds = Buffer.find("\n\n", From);
+    const auto CarriageReturns = Buffer.find(LongestEnd, From);
     if (LineFeeds == std::string::npos &&
         CarriageReturns == std::string::npos) {
       return std::string::npos;
@@ -171,6 +178,7 @@
   }
 
   std::string Buffer;
+  std::size_t Searched = 0; ///< Bytes of `Buffer` without the end of an event.
   std::string Held; ///< Events without an id behind the last one with an id.
   std::uint64_t LastId;
   /// Id of the last event of the present connection; zero before the first.
--- a/test/goldcrestnotch/stream/event_framer_test.cpp
+++ b/test/goldcrestnotch/stream/event_framer_test.cpp
@@ -3,6 +3,8 @@
 
 #include "goldcrestnotch/stream/event_framer.hpp"
 
+#include <ctime>
+
 #include <gtest/gtest.h>
 
 namespace goldcrestnotch {
@@ -121,6 +123,60 @@
   }
 }
 
+TEST(EventFramer, GapsInPiecesOfAnySizeEndAtTheSameEvent) {
+  const std::string Events = "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n"
+                             "id: 4\ndata: d\n\n";
+  for (std::size_t Size = 1; Size <= Events.size(); ++Size) {
+    EventFramer Framer;
+    std::string Passed;
+    bool Gap = false;
+    for (std::size_t I = 0; I < Events.size() && !Gap; I += Size) {
+      const auto Batch = Framer.feed(std::string_view{Events}.substr(I, Size));
+      Passed += Batch.Bytes;
+      Gap = Batch.Gap;
+    }
+    EXPECT_TRUE(Gap) << Size;
+    EXPECT_EQ(Passed, Events.substr(0, Events.find("id: 4"))) << Size;
+    EXPECT_EQ(Framer.lastId(), 2U);
+  }
+}
+
+// An event that arrived byte by byte was searched from its beginning with each
+// byte, which took seconds of processor time for 256 KiB.
+TEST(EventFramer, EventThatArrivesByteByByteTakesLinearTime) {
+  const auto ProcessorTime = [](std::size_t Bytes) {
+    EventFramer Framer;
+    const auto Begin = std::clock();
+    for (std::size_t I = 0; I < Bytes; ++I) {
+      (void)Framer.feed("x");
+    }
+    return std::clock() - Begin;
+  };
+  constexpr std::size_t Parts = 8;
+  constexpr std::size_t Tolerance = 4;
+  EXPECT_LT(ProcessorTime(EventFramer::MaxEventBytes),
+            static_cast<std::clock_t>(Parts * Tolerance) *
+                ProcessorTime(EventFramer::MaxEventBytes / Parts));
+}
+
+TEST(EventFramer, GapAtTheFirstEventResumesFromTheBeginning) {
+  EventFramer Framer;
+  EXPECT_TRUE(Framer.feed("id: 2\ndata: b\n\n").Gap);
+  EXPECT_EQ(Framer.lastId(), 0U);
+}
+
+TEST(EventFramer, GapAfterAResumeIsResumedAgain) {
+  EventFramer Framer;
+  EXPECT_TRUE(Framer.feed("id: 1\ndata: a\n\nid: 3\ndata: c\n\n").Gap);
+  Framer.beginConnection();
+  EXPECT_TRUE(Framer.feed("id: 2\ndata: b\n\nid: 4\ndata: d\n\n").Gap);
+  EXPECT_EQ(Framer.lastId(), 2U);
+  Framer.beginConnection();
+  const auto Rest = Framer.feed("id: 3\ndata: c\n\nid: 4\ndata: d\n\n");
+  EXPECT_FALSE(Rest.Gap);
+  EXPECT_EQ(Rest.Count, 2U);
+}
+
 TEST(EventFramer, HoldsNoMoreThanOneEventMayHave) {
   EventFramer Framer{1};
   const std::string Event = "data: " + std::string(16'384, 'x') + "\n\n";
