--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -621,8 +621,8 @@
                                               : AttemptResult::ResponseLost;
     }
   }
-  if (Framer.hasPartial()) {
-    Cause = "stream_broken";
+  if (Framer.hasPartial() || !Framer.heldIsWellFormed()) {
+    Cause = Framer.hasPartial() ? "stream_broken" : "event_missing";
     return AttemptResult::ResponseLost;
   }
   if (!Caller.started()) {
--- a/src/goldcrestnotch/stream/event_framer.hpp
+++ b/src/goldcrestnotch/stream/event_framer.hpp
@@ -61,6 +61,18 @@
   }
   /// @brief Returns the events that are still held when the stream has ended.
   [[nodiscard]] std::string takeHeld() { return std::exchange(Held, {}); }
+  /// @brief Whether all lines of the held events have the form of a field or a
+  /// comment. Other lines are wrong bytes, which may hide the id of an event.
+  [[nodiscard]] bool heldIsWellFormed() const {
+    for (std::size_t Begin = 0; Begin < Held.size();) {
+      const auto End = std::min(Held.find('\n', Begin), Held.size());
+      if (!isField(std::string_view{Held}.substr(Begin, End - Begin))) {
+        return false;
+      }
+      Begin = End + 1;
+    }
+    return true;
+  }
   /// @brief Processes the next bytes of the stream.
   /// @return The events that these bytes complete, without those whose id is
   /// not greater than `lastId`. After a gap, the connection must not be read
@@ -125,6 +137,18 @@
     return Result;
   }
 
+  /// @brief Whether a line is empty or begins with a name and a colon; a
+  /// comment has no name.
+  [[nodiscard]] static bool isField(std::string_view Line) {
+    constexpr std::string_view NameCharacters =
+        "abcdefghijklmnopqrstuvwxyz0123456789-_";
+    if (Line.empty() || Line == "\r") {
+      return true;
+    }
+    const auto NameEnd = Line.find_first_not_of(NameCharacters);
+    return NameEnd != std::string_view::npos && Line[NameEnd] == ':';
+  }
+
   /// @brief Adds an event to a batch unless the receiver already has it.
   void append(std::string_view Event, EventBatch &Batch) {
     const auto Id = idOf(Event);
--- a/standin/users_replica.cpp
+++ b/standin/users_replica.cpp
@@ -217,12 +217,13 @@
       HttpExchange.write(event(I).substr(0, 4));
       loseConnection();
     }
-    if (CurrentBehavior == Behavior::SpoiledStream && I < SpoiledEvent) {
-      Held += event(I);
+    if (CurrentBehavior == Behavior::SpoiledStream && I <= SpoiledEvent) {
+      Held += I < SpoiledEvent ? event(I) : std::string(event(I).size(), '#');
       continue;
     }
-    if (CurrentBehavior == Behavior::SpoiledStream && I == SpoiledEvent) {
-      Held += std::string(event(I).size(), '#');
+    if ((CurrentBehavior == Behavior::SpoiledFirst && I == 1) ||
+        (CurrentBehavior == Behavior::SpoiledLast && I == Events)) {
+      HttpExchange.write("##" + event(I).substr(2));
       continue;
     }
     HttpExchange.write(std::exchange(Held, {}) + event(I));
--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -43,7 +43,9 @@
     /// Sends wrong bytes in the place of the third event of a stream, in one
     /// piece with its neighbours.
     SpoiledStream,
-    LargeBody, ///< Responds to calls with a body of 3 MiB.
+    SpoiledFirst, ///< Sends wrong bytes in the place of the first event.
+    SpoiledLast,  ///< Sends wrong bytes in the place of the last id.
+    LargeBody,    ///< Responds to calls with a body of 3 MiB.
   };
 
   UsersReplica(boost::asio::io_context &Context, std::string Name,
--- a/test/goldcrestnotch/stream/event_framer_test.cpp
+++ b/test/goldcrestnotch/stream/event_framer_test.cpp
@@ -123,6 +123,26 @@
   }
 }
 
+// Wrong bytes in the place of the last id reached the caller with the proper
+// end of the stream.
+TEST(EventFramer, WrongBytesAtTheEndAreNotWellFormed) {
+  for (const auto *const Spoiled :
+       {"#####\ndata: x\n\n", "i##: 2\ndata: x\n\n", "########x\n\n"}) {
+    EventFramer Framer{1};
+    EXPECT_EQ(Framer.feed(Spoiled).Bytes, "");
+    EXPECT_FALSE(Framer.heldIsWellFormed()) << Spoiled;
+  }
+}
+
+TEST(EventFramer, EventsWithoutIdsAtTheEndAreWellFormed) {
+  EventFramer Framer{1};
+  const std::string Events = "data: [DONE]\n\n: bye\n\nevent: end\r\n"
+                             "data:\r\n\r\nx-weight-versions: 7\n\n";
+  EXPECT_EQ(Framer.feed(Events).Bytes, "");
+  EXPECT_TRUE(Framer.heldIsWellFormed());
+  EXPECT_EQ(Framer.takeHeld(), Events);
+}
+
 TEST(EventFramer, GapsInPiecesOfAnySizeEndAtTheSameEvent) {
   const std::string Events = "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n"
                              "id: 4\ndata: d\n\n";
--- a/test/platform/fleet.hpp
+++ b/test/platform/fleet.hpp
@@ -102,24 +102,35 @@
   Fleet(const Fleet &) = delete;
   Fleet &operator=(const Fleet &) = delete;
 
-  /// @brief Publishes a configuration with three routes and one workspace.
+  /// @brief Publishes a configuration with one workspace and a route of each
+  /// kind: `/chat/` may be resumed once, `/long/` three times, `/once/` never.
   /// @param MoreRoutes Number of further routes `/more-NUMBER/`.
   void publish(int Version, std::int64_t PrepaidTokens,
                const std::vector<std::string> &Keys = {"key-1"},
                int MoreRoutes = 0) {
     const auto Route = [](const char *Name, const char *Prefix,
-                          const char *Kind, bool Resumable) {
-      return json{
-          {"name", Name},      {"host", Host},         {"pathPrefix", Prefix},
-          {"kind", Kind},      {"timeoutMs", 4'000},   {"sloMs", 400},
-          {"priority", 0},     {"service", "engines"}, {"maxAttempts", 2},
-          {"public", false},   {"sticky", true},       {"resumable", Resumable},
-          {"targetGapMs", 400}};
+                          const char *Kind, bool Resumable,
+                          int MaxAttempts = 2) {
+      return json{{"name", Name},
+                  {"host", Host},
+                  {"pathPrefix", Prefix},
+                  {"kind", Kind},
+                  {"timeoutMs", 4'000},
+                  {"sloMs", 400},
+                  {"priority", 0},
+                  {"service", "engines"},
+                  {"maxAttempts", MaxAttempts},
+                  {"public", false},
+                  {"sticky", true},
+                  {"resumable", Resumable},
+                  {"targetGapMs", 400}};
     };
     json Config{
         {"version", Version},
         {"routes",
          {Route("chat", "/chat/", "streaming", true),
+          Route("long", "/long/", "streaming", true, 4),
+          Route("once", "/once/", "streaming", false),
           Route("order", "/order/", "non_idempotent", false),
           Route("stock", "/stock/", "idempotent", false)}},
         {"services",
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -176,6 +176,58 @@
   }
 }
 
+TEST(Platform, StreamWithASpoiledFirstOrLastEventGoesOn) {
+  Fleet TestFleet;
+  ASSERT_TRUE(TestFleet.waitUntilReady());
+  for (const auto Behavior : {UsersReplica::Behavior::SpoiledFirst,
+                              UsersReplica::Behavior::SpoiledLast}) {
+    TestFleet.replica(0).CurrentBehavior = Behavior;
+    for (int I = 0; I < 6; ++I) {
+      const auto Streamed = TestFleet.call(withNumber(Chat, I));
+      EXPECT_TRUE(Streamed.Complete);
+      EXPECT_EQ(Streamed.Body, CompleteStream);
+    }
+  }
+}
+
+TEST(Platform, ResumedStreamThatIsSpoiledGoesOnAgain) {
+  Fleet TestFleet{3};
+  ASSERT_TRUE(TestFleet.waitUntilReady());
+  TestFleet.replica(0).CurrentBehavior =
+      UsersReplica::Behavior::TruncatingStream;
+  TestFleet.replica(1).CurrentBehavior = UsersReplica::Behavior::SpoiledStream;
+  const auto RunsBefore = TestFleet.replica(2).runs();
+  auto Request = Chat;
+  Request.Path = "/long/1";
+  for (int I = 0; I < 12; ++I) {
+    const auto Streamed = TestFleet.call(withNumber(Request, I));
+    EXPECT_TRUE(Streamed.Complete);
+    EXPECT_EQ(Streamed.Body, CompleteStream);
+  }
+  EXPECT_GT(TestFleet.replica(2).runs(), RunsBefore);
+  EXPECT_GT(TestFleet.replica(0).runs(), 0U);
+  EXPECT_GT(TestFleet.replica(1).runs(), 0U);
+}
+
+// On a route that may not be resumed the caller must see that the stream has
+// not ended.
+TEST(Platform, SpoiledStreamOnARouteWithoutResumesDoesNotLookWhole) {
+  for (const auto Behavior : {UsersReplica::Behavior::SpoiledStream,
+                              UsersReplica::Behavior::SpoiledFirst,
+                              UsersReplica::Behavior::SpoiledLast}) {
+    Fleet TestFleet;
+    ASSERT_TRUE(TestFleet.waitUntilReady());
+    TestFleet.replica(0).CurrentBehavior =
+        TestFleet.replica(1).CurrentBehavior = Behavior;
+    auto Request = Chat;
+    Request.Path = "/once/1";
+    const auto Bytes = TestFleet.callRaw(Request);
+    EXPECT_FALSE(Bytes.ends_with("0\r\n\r\n")) << Bytes;
+    EXPECT_EQ(Bytes.find("##"), std::string::npos) << Bytes;
+    EXPECT_EQ(TestFleet.runsOf(Request.AttemptId), 1);
+  }
+}
+
 TEST(Platform, SpoiledStreamThatCannotGoOnDoesNotLookWhole) {
   Fleet TestFleet;
   ASSERT_TRUE(TestFleet.waitUntilReady());
