--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -773,6 +773,21 @@
   EXPECT_EQ(runMove(TestFleet, Chat), "rolled_back");
 }
 
+TEST(Platform, ShortRequestsHaveShortBodies) {
+  Fleet TestFleet;
+  ASSERT_TRUE(TestFleet.waitUntilReady());
+  for (const auto Port :
+       {Fleet::ReadyPort, Fleet::DirectoryPort, Fleet::ControlPort}) {
+    boost::asio::ip::tcp::iostream Connection{Fleet::address(0),
+                                              std::to_string(Port)};
+    Connection << "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n"
+               << std::flush;
+    std::string Line;
+    std::getline(Connection, Line);
+    EXPECT_NE(Line.find("413"), std::string::npos) << Port << " " << Line;
+  }
+}
+
 TEST(Platform, MetricsAreServed) {
   Fleet TestFleet;
   ASSERT_TRUE(TestFleet.waitUntilReady());
