Tests: bytes without end on connections in use again, with a length, and byte by byte

Late heads on a connection in use again, bodies beyond their bound with and without a length, and framing that arrives a byte every 20 ms, from targets, callers, the store and other VMs.

--- a/standin/raw_peer.cpp
+++ b/standin/raw_peer.cpp
@@ -3,6 +3,7 @@
 
 #include "raw_peer.hpp"
 
+#include <chrono>
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
@@ -24,6 +25,7 @@
   boost::system::error_code Failure;
   std::size_t Sent = asio::write(Socket, asio::buffer(Content.Begin), Failure);
   while (!Failure && !Content.Repeated.empty() && Sent < MaxBytes) {
+    std::this_thread::sleep_for(std::chrono::milliseconds{Content.PauseMs});
     Sent += asio::write(Socket, asio::buffer(Content.Repeated), Failure);
   }
   // The other side may have closed the connection already.
@@ -32,10 +34,10 @@
   return Sent;
 }
 
-RawPeer::RawPeer(RawBytes Response)
+RawPeer::RawPeer(RawBytes Response, std::string First)
     : Acceptor{Context, tcp::endpoint{asio::ip::address_v4::loopback(), 0}},
       Port{Acceptor.local_endpoint().port()}, Response{std::move(Response)},
-      Server{[this] { serve(); }} {}
+      First{std::move(First)}, Server{[this] { serve(); }} {}
 
 RawPeer::~RawPeer() { (void)finish(); }
 
@@ -59,10 +61,16 @@
     if (Failure || Ending) {
       return;
     }
-    std::string Request;
-    asio::read_until(Socket, asio::dynamic_buffer(Request), "\r\n\r\n",
-                     Failure);
-    if (!Failure) {
+    const auto ReadHead = [&] {
+      std::string Request;
+      asio::read_until(Socket, asio::dynamic_buffer(Request), "\r\n\r\n",
+                       Failure);
+      return !Failure;
+    };
+    if (!First.empty() && ReadHead()) {
+      asio::write(Socket, asio::buffer(First), Failure);
+    }
+    if (!Failure && ReadHead()) {
       Sent += sendRaw(Socket, Response);
     }
   }
--- a/standin/raw_peer.hpp
+++ b/standin/raw_peer.hpp
@@ -20,6 +20,7 @@
   std::string Begin;
   /// Sent repeatedly after `Begin` until the other side closes; may be empty.
   std::string Repeated;
+  int PauseMs = 0; ///< Before each repetition.
 };
 
 /// @brief Sends bytes on a connected socket.
@@ -28,11 +29,12 @@
 std::size_t sendRaw(boost::asio::ip::tcp::socket &Socket,
                     const RawBytes &Content);
 
-/// @brief A server that answers each connection's first request with given
-/// bytes and then closes the connection.
+/// @brief A server that answers a request on each connection with given bytes
+/// and then closes the connection.
 class RawPeer {
 public:
-  explicit RawPeer(RawBytes Response);
+  /// @param First The response to a request before that one; empty for none.
+  explicit RawPeer(RawBytes Response, std::string First = {});
   ~RawPeer();
   RawPeer(const RawPeer &) = delete;
   RawPeer &operator=(const RawPeer &) = delete;
@@ -49,6 +51,7 @@
   boost::asio::ip::tcp::acceptor Acceptor;
   std::uint16_t Port;
   RawBytes Response;
+  std::string First;
   std::size_t Sent = 0;            ///< Written by `Server` until it ends.
   std::atomic<bool> Ending{false}; ///< No further connection is accepted.
   std::thread Server;
--- a/test/goldcrestnotch/http/endless_bytes_test.cpp
+++ b/test/goldcrestnotch/http/endless_bytes_test.cpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include <thread>
+#include <vector>
 
 #include "goldcrestnotch/core/error.hpp"
 #include "goldcrestnotch/http/client.hpp"
@@ -38,8 +39,8 @@
   return Result;
 }
 
-/// @brief Sends a request by each kind of client and returns what it read.
-class EndlessResponse : public testing::TestWithParam<RawBytes> {
+/// @brief Sends a request by each kind of client.
+class ClientTest : public testing::Test {
 protected:
   template <typename Call> bool succeeds(std::uint16_t Port, Call Send) {
     boost::asio::io_context Loop;
@@ -58,6 +59,17 @@
   }
 };
 
+class EndlessResponse : public ClientTest,
+                        public testing::WithParamInterface<RawBytes> {};
+
+/// Beginnings of responses that go on byte by byte.
+class SlowResponse : public ClientTest {
+protected:
+  const std::vector<std::string> SlowBegins{
+      "HTTP/1.1 200 ", ChunkedResponse,
+      ChunkedResponse + "1;x=", ChunkedResponse + "0\r\nX-Noise: "};
+};
+
 TEST_P(EndlessResponse, IsNotBufferedBySessions) {
   standin::RawPeer Peer{GetParam()};
   const auto Begin = DecisionClock::now();
@@ -89,6 +101,53 @@
                     RawBytes{ChunkedResponse + "1\r\nx\r\n", Filler},
                     RawBytes{ChunkedResponse + "0\r\n", Field}));
 
+TEST_F(SlowResponse, EndsWithTheDeadlineOfSessions) {
+  for (const auto &Begin : SlowBegins) {
+    standin::RawPeer Peer{{Begin, "#", 20}};
+    const auto Started = DecisionClock::now();
+    EXPECT_FALSE(succeeds(
+        Peer.port(), [](auto &Loop, auto Yield, auto Remote, auto Deadline) {
+          (void)Session{Loop, Remote}.send(Yield, rootRequest(),
+                                           Deadline - Millis{4'600});
+        }));
+    // A session reads a response in progress on while it makes progress.
+    EXPECT_LT(DecisionClock::now() - Started, Millis{3'000}) << Begin;
+  }
+}
+
+TEST_F(SlowResponse, EndsWithTheDeadlineOfClients) {
+  for (const auto &Begin : SlowBegins) {
+    standin::RawPeer Peer{{Begin, "#", 20}};
+    const auto Started = DecisionClock::now();
+    EXPECT_FALSE(succeeds(Peer.port(), [](auto &, auto Yield, auto Remote,
+                                          auto Deadline) {
+      (void)Client{Yield, Remote}.send(rootRequest(), Deadline - Millis{4'600});
+    }));
+    EXPECT_LT(DecisionClock::now() - Started, Millis{2'000}) << Begin;
+  }
+}
+
+TEST(EndlessBody, OfAResponseIsBoundedInSessions) {
+  for (const auto *const Head :
+       {"HTTP/1.1 200 OK\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n"}) {
+    standin::RawPeer Peer{{Head, Filler}};
+    boost::asio::io_context Loop;
+    bool Failed = false;
+    boost::asio::spawn(Loop, [&](boost::asio::yield_context Yield) {
+      try {
+        (void)Session{Loop, {"127.0.0.1", Peer.port()}}.send(
+            Yield, rootRequest(), DecisionClock::now() + Millis{5'000});
+      } catch (const Error &) {
+        Failed = true;
+      }
+    });
+    Loop.run();
+    EXPECT_TRUE(Failed);
+    EXPECT_LE(Peer.finish(), MaxUnreadBytes + (16U << 20U));
+  }
+}
+
 TEST(EndlessBody, OfAResponseIsBoundedInClients) {
   standin::RawPeer Peer{{"HTTP/1.1 200 OK\r\n\r\n", Filler}};
   boost::asio::io_context Loop;
@@ -109,11 +168,18 @@
 /// @brief A server that answers each request that it could read.
 class EndlessRequest : public testing::TestWithParam<RawBytes> {
 protected:
+  static Limits shortTimeouts() {
+    Limits Result;
+    Result.HeadTimeout = Result.BodyTimeout = Millis{400};
+    return Result;
+  }
+
   EndlessRequest()
-      : Listener{Loop, {"127.0.0.1", 0}, {}, [this](Exchange &Current) {
-                   Body = Current.request().Body;
-                   Current.reply({});
-                 }} {
+      : Listener{
+            Loop, {"127.0.0.1", 0}, shortTimeouts(), [this](Exchange &Current) {
+              Body = Current.request().Body;
+              Current.reply({});
+            }} {
     Listener.start();
     Thread = std::thread{[this] { Loop.run(); }};
   }
@@ -139,6 +205,15 @@
   EXPECT_EQ(Listener.malformed(), 1U);
 }
 
+TEST_P(EndlessRequest, EndsInTimeIfItArrivesByteByByte) {
+  boost::asio::io_context Context;
+  boost::asio::ip::tcp::socket Socket{Context};
+  Socket.connect({boost::asio::ip::address_v4::loopback(), Listener.port()});
+  const auto Started = DecisionClock::now();
+  (void)standin::sendRaw(Socket, {GetParam().Begin, "#", 20});
+  EXPECT_LT(DecisionClock::now() - Started, Millis{3'000});
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Parts, EndlessRequest,
     testing::Values(RawBytes{"GET /", Filler},
--- a/test/goldcrestnotch/proxy/caller_connection_test.cpp
+++ b/test/goldcrestnotch/proxy/caller_connection_test.cpp
@@ -81,6 +81,46 @@
   expectCutOff({ChunkedHead + "0\r\n", "X-Noise: 0123456789012345678\r\n"});
 }
 
+TEST_F(CallerConnectionTest, BodyBeyondTheLimitIsCutOff) {
+  for (const auto &Begin :
+       {"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n",
+        ChunkedHead.c_str()}) {
+    Sender.close();
+    Caller = std::make_shared<CallerConnection>(Loop, Budget);
+    Sender.connect(Acceptor.local_endpoint());
+    Acceptor.accept(Caller->stream().socket());
+    Limits.MaxBodyBytes = 10'000;
+    std::size_t Sent = 0;
+    std::thread Writer{[&] {
+      Sent = standin::sendRaw(Sender, {Begin, "4\r\nbody\r\n"});
+    }};
+    EXPECT_EQ(read(), ReadResult::BodyTooLarge);
+    Caller->stream().close();
+    Writer.join();
+    EXPECT_LE(Sent, MaxUnreadBytes);
+  }
+}
+
+TEST_F(CallerConnectionTest, RequestThatArrivesByteByByteEndsInTime) {
+  Limits.HeaderTimeout = Limits.IdleTimeout = Millis{300};
+  for (const auto &Begin :
+       {std::string{"POST / HTTP/1.1\r\n"},
+        ChunkedHead + "1;x=", ChunkedHead + "0\r\nX-Noise: "}) {
+    Sender.close();
+    Caller = std::make_shared<CallerConnection>(Loop, Budget);
+    Sender.connect(Acceptor.local_endpoint());
+    Acceptor.accept(Caller->stream().socket());
+    std::thread Writer{[&] {
+      (void)standin::sendRaw(Sender, {Begin, "x", 20});
+    }};
+    const auto Started = DecisionClock::now();
+    EXPECT_EQ(read(), ReadResult::Closed) << Begin;
+    EXPECT_LT(DecisionClock::now() - Started, Millis{2'000});
+    Caller->stream().close();
+    Writer.join();
+  }
+}
+
 TEST_F(CallerConnectionTest, ChunkExtensionsAndTrailersAreNoFault) {
   boost::asio::write(Sender,
                      boost::asio::buffer(ChunkedHead +
--- a/test/goldcrestnotch/proxy/upstream_test.cpp
+++ b/test/goldcrestnotch/proxy/upstream_test.cpp
@@ -23,12 +23,12 @@
 class UpstreamTest : public testing::Test {
 protected:
   /// @brief Sends a request to a target and reads the whole response.
-  void exchange(std::uint16_t Port) {
+  void exchange(std::uint16_t Port, Millis Timeout = Millis{5'000}) {
     boost::asio::spawn(Loop, [&](boost::asio::yield_context Yield) {
       backend::Registration To;
       To.Endpoint = {"127.0.0.1", Port};
       ConnectionPool Pool{Loop};
-      const auto Deadline = DecisionClock::now() + Millis{5'000};
+      const auto Deadline = DecisionClock::now() + Timeout;
       const auto Connection = Pool.connect(Yield, To, Deadline);
       WireRequest Request{boost::beast::http::verb::get, "/", 11};
       Upstream Remote{Connection, std::move(Request),
@@ -43,6 +43,36 @@
     Loop.run();
   }
 
+  /// @brief Sends two requests on one connection and reads the responses.
+  void exchangeTwice(std::uint16_t Port) {
+    boost::asio::spawn(Loop, [&](boost::asio::yield_context Yield) {
+      const auto Target = std::make_shared<backend::Target>();
+      Target->Registered.Endpoint = {"127.0.0.1", Port};
+      ConnectionPool Pool{Loop};
+      const auto Deadline = DecisionClock::now() + Millis{5'000};
+      {
+        Upstream Remote{Pool.connect(Yield, Target->Registered, Deadline),
+                        WireRequest{boost::beast::http::verb::get, "/", 11},
+                        Target, 0, Yield};
+        Remote.send(Deadline);
+        ASSERT_TRUE(Remote.readHead("Attempt", "a0"));
+        ASSERT_TRUE(Remote.readAll(Body, MaxBodyBytes));
+        Remote.release(Pool);
+      }
+      const auto Connection =
+          Pool.acquire(DecisionClock::now(), Target->Registered);
+      ASSERT_TRUE(Connection) << "the connection is in use again";
+      Upstream Remote{Connection,
+                      WireRequest{boost::beast::http::verb::get, "/", 11},
+                      Target, 0, Yield};
+      Remote.send(Deadline);
+      HeadRead = Remote.readHead("Attempt", "a1");
+      BrokenOff = Remote.brokenOff();
+      BufferBytes = Connection->Buffer.capacity();
+    });
+    Loop.run();
+  }
+
   /// @brief Expects that a response without end is not buffered.
   void expectCutOff(const standin::RawBytes &Response) {
     standin::RawPeer Target{Response};
@@ -109,6 +139,48 @@
   expectCutOff({Head + "\r\n", Filler});
 }
 
+TEST_F(UpstreamTest, BodyThatIsLongerThanItsBoundIsCutOff) {
+  expectCutOff({Head + "Content-Length: 999999999999\r\n\r\n", Filler});
+}
+
+TEST_F(UpstreamTest, ChunkedBodyWithoutEndIsCutOff) {
+  expectCutOff({ChunkedHead, "4\r\nbody\r\n"});
+}
+
+TEST_F(UpstreamTest, LateHeadWithoutEndOnAConnectionInUseAgainIsCutOff) {
+  const std::string First = "HTTP/1.1 200 OK\r\nAttempt: a0\r\n"
+                            "Keep-Alive: timeout=5\r\n"
+                            "Content-Length: 1\r\n\r\nx";
+  for (const auto *const Begin :
+       {"HTTP/1.1 200 ",
+        "HTTP/1.1 200 OK\r\nAttempt: a0\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nAttempt: a0\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Noise: "}) {
+    standin::RawPeer Target{{Begin, Filler}, First};
+    Loop.restart();
+    exchangeTwice(Target.port());
+    EXPECT_FALSE(HeadRead) << Begin;
+    EXPECT_LE(BufferBytes, 64U << 10U);
+    EXPECT_LE(Target.finish(), MaxUnreadBytes);
+  }
+}
+
+// Bytes now and then must not prolong a request.
+TEST_F(UpstreamTest, PartsThatArriveByteByByteEndWithTheDeadline) {
+  for (const auto &Begin :
+       {std::string{"HTTP/1.1 200 "}, ChunkedHead,
+        ChunkedHead + "1;x=", ChunkedHead + "0\r\nX-Noise: "}) {
+    standin::RawPeer Target{{Begin, "#", 20}};
+    const auto Started = DecisionClock::now();
+    Loop.restart();
+    Whole = true;
+    exchange(Target.port(), Millis{400});
+    EXPECT_FALSE(Whole) << Begin;
+    EXPECT_LT(DecisionClock::now() - Started, Millis{2'000});
+  }
+}
+
 TEST_F(UpstreamTest, ChunkExtensionsAreNoFault) {
   std::string Response = ChunkedHead;
   for (int I = 0; I < 100; ++I) {
