Tests: a caller that sends without pause has room for its body

CallerConnectionTest.BytesWithoutPauseEndInTime failed in a release build (0.14 s): the body filled the fixture's budget of 100,000 bytes before the 0.3 s had passed, so the request was refused as too long for the buffers. Slower builds, such as those with sanitizers, reached the deadline first. It reads with a budget of 1 GiB now; what it expects is unchanged.

--- a/test/goldcrestnotch/proxy/caller_connection_test.cpp
+++ b/test/goldcrestnotch/proxy/caller_connection_test.cpp
@@ -58,6 +58,7 @@
 
   boost::asio::io_context Loop;
   BufferBudget Budget{100'000};
+  BufferBudget LargeBudget{1U << 30U};
   routing::CallerLimits Limits;
   std::shared_ptr<CallerConnection> Caller =
       std::make_shared<CallerConnection>(Loop, Budget);
@@ -123,6 +124,10 @@
 
 // A socket that always has bytes ready never waits, so its timer can't act.
 TEST_F(CallerConnectionTest, BytesWithoutPauseEndInTime) {
+  Sender.close();
+  Caller = std::make_shared<CallerConnection>(Loop, LargeBudget);
+  Sender.connect(Acceptor.local_endpoint());
+  Acceptor.accept(Caller->stream().socket());
   Limits.IdleTimeout = Millis{300};
   Limits.MaxBodyBytes = 64U << 20U;
   std::thread Writer{[&] {
