Logs tell the steps of a planned stop, and silence of a target from its end

The record of the incident can't tell its hypotheses apart: the lines of requests name stream_broken both for a target that ended its connection and for one that this VM gave up, and nothing says when the signal arrived, how late it was handled or what was left when the process ended.

- request.end: stop_ms; cause target_silent.

No decision changes.

--- a/src/goldcrestnotch/proxy/caller_connection.cpp
+++ b/src/goldcrestnotch/proxy/caller_connection.cpp
@@ -69,6 +69,7 @@
                                   const LoopDelay &Delay) {
   boost::system::error_code Failure;
   Started = false;
+  Current = Buffer.size() == 0 ? Phase::Idle : Phase::Receiving;
   // An idle connection holds no memory for its last request.
   Request = WireRequest{};
   (void)RequestShare.resize(0);
@@ -81,6 +82,7 @@
     if (Failure) {
       return ReadResult::Closed;
     }
+    Current = Phase::Receiving;
   }
   Parser Received;
   Received.header_limit(Limits.MaxHeaderBytes);
@@ -97,11 +99,18 @@
     KeepAlive = false;
     return Result;
   }
+  Current = Phase::Responding;
   KeepAlive = KeepAlive && Received.get().keep_alive();
   Request = Received.release();
   return Result;
 }
 
+bool CallerConnection::receiving() {
+  boost::system::error_code Failure;
+  return Current == Phase::Receiving ||
+         (Current == Phase::Idle && Socket.socket().available(Failure) > 0);
+}
+
 ReadResult CallerConnection::readBody(asio::yield_context Yield,
                                       Parser &Received, Instant Deadline) {
   boost::system::error_code Failure;
--- a/src/goldcrestnotch/proxy/caller_connection.hpp
+++ b/src/goldcrestnotch/proxy/caller_connection.hpp
@@ -55,6 +55,8 @@
   /// @brief Checks the socket and returns whether the caller has closed the
   /// connection.
   [[nodiscard]] bool checkGone();
+  /// @brief Whether a request has begun to arrive and is not read whole.
+  [[nodiscard]] bool receiving();
   /// @brief Whether a response to the current request has been started.
   [[nodiscard]] bool started() const noexcept { return Started; }
   /// @brief Whether the connection may carry another request.
@@ -88,6 +90,13 @@
   void abort();
 
 private:
+  /// @brief What the connection waits for.
+  enum class Phase : std::uint8_t {
+    Idle,       ///< The first byte of a request.
+    Receiving,  ///< The rest of a request, which may have been refused.
+    Responding, ///< The end of the response to a request.
+  };
+
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
@@ -101,6 +110,7 @@
   BufferBudget::Share RequestShare; ///< Of the body of `Request`.
   Instant Arrival{};
   std::function<void()> OnGone;
+  Phase Current = Phase::Idle;
   bool First = true; ///< No request has been read yet.
   bool Watching =
       false; ///< A wait for the socket to become readable is active.
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -411,10 +411,17 @@
   return Caller.gone() ? AttemptResult::CallerGone : Result;
 }
 
+std::string Exchange::lossCause(const Upstream &Remote, const char *Broken) {
+  if (Remote.malformed()) {
+    return "answer_malformed";
+  }
+  return Remote.silent() ? "target_silent" : Broken;
+}
+
 AttemptResult Exchange::receiveResponse(Upstream &Remote) {
   const auto AttemptId = view(Caller.request()[Context.Headers.AttemptId]);
   if (!Remote.readHead(Context.Headers.AttemptId, AttemptId)) {
-    Cause = Remote.malformed() ? "answer_malformed" : "answer_lost";
+    Cause = lossCause(Remote, "answer_lost");
     return DecisionClock::now() >= Deadline ? AttemptResult::DeadlineExceeded
                                             : AttemptResult::ResponseLost;
   }
@@ -532,7 +539,7 @@
 bool Exchange::readBody(Upstream &Remote, std::string &Body) {
   while (!Remote.complete()) {
     if (!Remote.readSome(Body)) {
-      Cause = Remote.malformed() ? "answer_malformed" : "answer_broken";
+      Cause = lossCause(Remote, "answer_broken");
       return false;
     }
     if (Body.size() > internal::MaxBodyBytes) {
@@ -616,7 +623,7 @@
     }
     if (!ReadOk) {
       recordBreak(Remote);
-      Cause = Remote.malformed() ? "answer_malformed" : "stream_broken";
+      Cause = lossCause(Remote, "stream_broken");
       return DecisionClock::now() >= Deadline ? AttemptResult::DeadlineExceeded
                                               : AttemptResult::ResponseLost;
     }
@@ -883,6 +890,9 @@
        {"gap_ms", LongestEventGap.count()},
        {"took_ms", (DecisionClock::now() - Caller.arrival()).count()},
        {"left_ms", (Deadline - DecisionClock::now()).count()},
+       {"stop_ms", Context.StopSignal
+                       ? (DecisionClock::now() - *Context.StopSignal).count()
+                       : std::int64_t{-1}},
        {"config", Table ? static_cast<std::int64_t>(Table->version())
                         : std::int64_t{-1}}});
 }
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -47,6 +47,10 @@
   /// @brief Sends the request to a target and forwards the response.
   [[nodiscard]] AttemptResult
   attempt(const std::shared_ptr<backend::Target> &Target);
+  /// @brief Why a response could not be read to its end.
+  /// @param Broken The cause if the connection failed.
+  [[nodiscard]] static std::string lossCause(const Upstream &Remote,
+                                             const char *Broken);
   /// @brief Receives and forwards the response to an attempt.
   [[nodiscard]] AttemptResult receiveResponse(Upstream &Remote);
   /// @brief Ends the use of a target's connection. The caller's leaving does
--- a/src/goldcrestnotch/proxy/listener.cpp
+++ b/src/goldcrestnotch/proxy/listener.cpp
@@ -3,6 +3,7 @@
 
 #include "goldcrestnotch/proxy/listener.hpp"
 
+#include <algorithm>
 #include <array>
 
 #include <boost/asio/post.hpp>
@@ -86,16 +87,22 @@
   Acceptor.close(Ignored);
 }
 
+std::size_t Listener::receiving() const {
+  return static_cast<std::size_t>(
+      std::count_if(Connections.begin(), Connections.end(),
+                    [](const auto &Caller) { return Caller->receiving(); }));
+}
+
 void Listener::accept(asio::yield_context Yield) {
   asio::steady_timer Timer{Context.Loop};
   while (Acceptor.is_open()) {
     auto Caller =
         std::make_shared<CallerConnection>(Context.Loop, Context.Buffers);
     boost::system::error_code Failure;
-    if (Connections < MaxConnections) {
+    if (Connections.size() < MaxConnections) {
       Acceptor.async_accept(Caller->stream().socket(), Yield[Failure]);
     }
-    if (Failure || Connections >= MaxConnections) {
+    if (Failure || Connections.size() >= MaxConnections) {
       Context.Measured.count("accept_pauses_total");
       Timer.expires_after(internal::AcceptPause);
       Timer.async_wait(Yield);
@@ -111,7 +118,7 @@
   boost::system::error_code Failure;
   Acceptor.non_blocking(true, Failure);
   for (int I = 0; !Failure && I < internal::MaxAcceptsPerTurn &&
-                  Connections < MaxConnections;
+                  Connections.size() < MaxConnections;
        ++I) {
     auto Caller =
         std::make_shared<CallerConnection>(Context.Loop, Context.Buffers);
@@ -128,10 +135,10 @@
   // Without this option responses are only delayed.
   boost::system::error_code Ignored;
   Caller->stream().socket().set_option(tcp::no_delay(true), Ignored);
-  ++Connections;
+  Connections.insert(Caller);
   asio::spawn(Context.Loop, [this, Caller](asio::yield_context Yield) {
     serve(Caller, Yield);
-    --Connections;
+    Connections.erase(Caller);
   });
 }
 
--- a/src/goldcrestnotch/proxy/listener.hpp
+++ b/src/goldcrestnotch/proxy/listener.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <set>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -31,6 +32,10 @@
   /// connections are still served.
   void close();
 
+  /// @brief Number of connections on which a request has begun to arrive and is
+  /// not read whole.
+  [[nodiscard]] std::size_t receiving() const;
+
 private:
   /// @brief Accepts connections until the port is closed.
   void accept(boost::asio::yield_context Yield);
@@ -52,7 +57,7 @@
   ProxyContext &Context;
   boost::asio::ip::tcp::acceptor Acceptor;
   std::size_t MaxConnections;
-  std::size_t Connections = 0;
+  std::set<std::shared_ptr<CallerConnection>> Connections; ///< Open ones.
 };
 
 } // namespace goldcrestnotch::proxy
--- a/src/goldcrestnotch/proxy/proxy_context.hpp
+++ b/src/goldcrestnotch/proxy/proxy_context.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -43,6 +44,8 @@
   std::shared_ptr<const routing::RouteTable> Table;
   /// The VM is shutting down; connections are closed after the current request.
   bool Draining = false;
+  /// When the VM was told to shut down; nothing before.
+  std::optional<Instant> StopSignal;
   bool Closing = false; ///< New requests are refused; implies `Draining`.
   bool Ending = false;  ///< No attempt goes on; implies `Closing`.
   /// Connections on which an attempt waits for its response. One may be listed
--- a/src/goldcrestnotch/proxy/upstream.cpp
+++ b/src/goldcrestnotch/proxy/upstream.cpp
@@ -84,6 +84,7 @@
                             Yield[Failure]);
     if (Failure) {
       Malformed = internal::isMalformed(Failure);
+      Silent = Failure == boost::beast::error::timeout;
       return false;
     }
     const auto EchoedId = Response->get()[HeaderName];
@@ -117,8 +118,9 @@
     return Response->is_done() || DecisionClock::now() < Deadline;
   }
   Malformed = internal::isMalformed(Failure);
-  BrokenOff = !Malformed && Failure != boost::beast::error::timeout &&
-              Failure != asio::error::operation_aborted;
+  Silent = Failure == boost::beast::error::timeout;
+  BrokenOff =
+      !Malformed && !Silent && Failure != asio::error::operation_aborted;
   return false;
 }
 
--- a/src/goldcrestnotch/proxy/upstream.hpp
+++ b/src/goldcrestnotch/proxy/upstream.hpp
@@ -57,6 +57,9 @@
   /// @brief Whether the target ended or lost the connection while the response
   /// was read. A deadline or malformed bytes are no such end.
   [[nodiscard]] bool brokenOff() const noexcept { return BrokenOff; }
+  /// @brief Whether the response ended because its target sent nothing until a
+  /// deadline.
+  [[nodiscard]] bool silent() const noexcept { return Silent; }
   /// @brief Whether the target sent bytes that are no valid response, or a
   /// chunk head or trailer section without end.
   [[nodiscard]] bool malformed() const noexcept { return Malformed; }
@@ -106,6 +109,7 @@
   Instant Deadline = Instant::max(); ///< For the whole response.
   bool BrokenOff = false;
   bool Malformed = false;
+  bool Silent = false;
   bool Released = false;
 };
 
