LOST: the deadlines of a planned stop count from the arrival of its signal

What callers saw: requests that were sent after the time for which a VM takes requests were taken, and their streams were reset when the platform killed the process.

Cause: all times counted from the moment at which the event loop handled the signal, and the end of the time to accept was a flag that a timer set, late as well. A loop that is late by L accepted requests for L longer and meant to end L after the kill.

The deadlines are now an object (ShutdownSchedule) that is asked with the clock's time. A request whose own deadline lies before the end of the attempts is accepted until then, since it can't be cut; it was refused before. A late loop ends attempts up to a sixth of the time before the kill, not earlier: a target may be at work until then.

--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -107,7 +107,7 @@
 }
 
 void Exchange::run() {
-  if (Context.Draining) {
+  if (Context.Shutdown) {
     Caller.disableKeepAlive();
   }
   try {
@@ -132,10 +132,6 @@
 
 bool Exchange::route() {
   const auto &Request = Caller.request();
-  if (Context.Closing) {
-    reject(503, "shutting_down", retryDelay());
-    return false;
-  }
   if (!Table) {
     reject(503, "no_configuration", retryDelay());
     return false;
@@ -170,14 +166,18 @@
     Deadline = std::min(Deadline, Caller.arrival() + *Remaining -
                                       internal::ResponseMargin);
   }
+  const auto Now = DecisionClock::now();
+  if (Context.Shutdown &&
+      !Context.Shutdown->accepts(Now, Deadline, Context.Delay.current(Now))) {
+    reject(503, "shutting_down", retryDelay());
+    return false;
+  }
   if (promptRefused()) {
     reject(503, "prompt_quarantined",
-           Context.Quarantine.deadline(Prompt->SharedParts) -
-               DecisionClock::now());
+           Context.Quarantine.deadline(Prompt->SharedParts) - Now);
     return false;
   }
-  if (!Context.Delay.canMeet(DecisionClock::now(), Deadline,
-                             internal::MinWork)) {
+  if (!Context.Delay.canMeet(Now, Deadline, internal::MinWork)) {
     Caller.disableKeepAlive(); // The caller may then connect to another VM.
     reject(503, "loop_delayed", retryDelay());
     return false;
@@ -890,9 +890,10 @@
        {"gap_ms", LongestEventGap.count()},
        {"took_ms", (DecisionClock::now() - Caller.arrival()).count()},
        {"left_ms", (Deadline - DecisionClock::now()).count()},
-       {"stop_ms", Context.StopSignal
-                       ? (DecisionClock::now() - *Context.StopSignal).count()
-                       : std::int64_t{-1}},
+       {"stop_ms",
+        Context.Shutdown
+            ? (DecisionClock::now() - Context.Shutdown->signalTime()).count()
+            : std::int64_t{-1}},
        {"config", Table ? static_cast<std::int64_t>(Table->version())
                         : std::int64_t{-1}}});
 }
--- a/src/goldcrestnotch/proxy/proxy_context.hpp
+++ b/src/goldcrestnotch/proxy/proxy_context.hpp
@@ -20,6 +20,7 @@
 #include "goldcrestnotch/proxy/buffer_budget.hpp"
 #include "goldcrestnotch/proxy/header_names.hpp"
 #include "goldcrestnotch/proxy/loop_delay.hpp"
+#include "goldcrestnotch/proxy/shutdown_schedule.hpp"
 #include "goldcrestnotch/proxy/target_connection.hpp"
 #include "goldcrestnotch/ratelimit/permits.hpp"
 #include "goldcrestnotch/rollout/traffic_shift.hpp"
@@ -42,12 +43,10 @@
   Metrics &Measured;
   /// Null until the first configuration has been received.
   std::shared_ptr<const routing::RouteTable> Table;
-  /// The VM is shutting down; connections are closed after the current request.
-  bool Draining = false;
-  /// When the VM was told to shut down; nothing before.
-  std::optional<Instant> StopSignal;
-  bool Closing = false; ///< New requests are refused; implies `Draining`.
-  bool Ending = false;  ///< No attempt goes on; implies `Closing`.
+  /// Set once the VM is told to stop. Connections are then closed after the
+  /// current request.
+  std::optional<ShutdownSchedule> Shutdown;
+  bool Ending = false; ///< No attempt goes on; implies `Shutdown`.
   /// Connections on which an attempt waits for its response. One may be listed
   /// twice: it can be used again while the response before is still passed on.
   std::multiset<std::shared_ptr<TargetConnection>> Active;
--- a/test/platform/fleet.hpp
+++ b/test/platform/fleet.hpp
@@ -61,6 +61,8 @@
 class Fleet {
 public:
   static constexpr const char *Host = "shop.example";
+  /// A workspace without a prepaid budget.
+  static constexpr std::int64_t Unlimited = 0;
   /// Output tokens of one event of a chat stream.
   static constexpr std::int64_t EventTokens = 6;
 
@@ -125,29 +127,30 @@
                   {"resumable", Resumable},
                   {"targetGapMs", 400}};
     };
-    json Config{
-        {"version", Version},
-        {"routes",
-         {Route("chat", "/chat/", "streaming", true),
-          Route("long", "/long/", "streaming", true, 4),
-          Route("once", "/once/", "streaming", false),
-          Route("order", "/order/", "non_idempotent", false),
-          Route("stock", "/stock/", "idempotent", false)}},
-        {"services",
-         {{{"name", "engines"},
-           {"healthPath", "/health"},
-           {"maxConns", 100},
-           {"engine",
-            {{"capacity", 8},
-             {"kvCapacity", 90'000},
-             {"stride", EventTokens}}}}}},
-        {"limits",
-         {{"maxHeaderBytes", 16'384},
-          {"maxBodyBytes", 100'000},
-          {"headerTimeoutMs", 3'000},
-          {"idleTimeoutMs", 15'000}}},
-        {"tenants",
-         {{{"name", "stall"}, {"apiKeys", Keys}, {"prepaid", PrepaidTokens}}}}};
+    json Config{{"version", Version},
+                {"routes",
+                 {Route("chat", "/chat/", "streaming", true),
+                  Route("long", "/long/", "streaming", true, 4),
+                  Route("once", "/once/", "streaming", false),
+                  Route("order", "/order/", "non_idempotent", false),
+                  Route("stock", "/stock/", "idempotent", false)}},
+                {"services",
+                 {{{"name", "engines"},
+                   {"healthPath", "/health"},
+                   {"maxConns", 100},
+                   {"engine",
+                    {{"capacity", 8},
+                     {"kvCapacity", 90'000},
+                     {"stride", EventTokens}}}}}},
+                {"limits",
+                 {{"maxHeaderBytes", 16'384},
+                  {"maxBodyBytes", 100'000},
+                  {"headerTimeoutMs", 3'000},
+                  {"idleTimeoutMs", 15'000}}},
+                {"tenants", {{{"name", "stall"}, {"apiKeys", Keys}}}}};
+    if (PrepaidTokens != Unlimited) {
+      Config["tenants"][0]["prepaid"] = PrepaidTokens;
+    }
     for (int I = 0; I < MoreRoutes; ++I) {
       const auto Name = "more-" + std::to_string(I);
       Config["routes"].push_back(Route(Name.c_str(), ("/" + Name + "/").c_str(),
