LOST: requests that are on their way count as in progress in a planned stop

What callers saw: a request whose head or body was still arriving when the VM was told to stop got a reset as soon as no other request was in progress, a third of the grace time after the signal, though it was sent whole a little later.

Cause: only requests that had been read whole counted (ProxyContext::InProgress); the process ended without a look at the connections on which one was arriving or lay unread in the kernel. A body in chunks, a slow one and a late loop widen the gap.

A process now ends when no request is in progress, arriving or unread, or when the time for last answers is over. A request that has not arrived by the end of the attempts gets 503, which is true: it has not run. Attempts whose targets have sent bytes that are not read yet aren't closed at that moment, so that answers which are ready are delivered.

--- a/src/goldcrestnotch/proxy/caller_connection.cpp
+++ b/src/goldcrestnotch/proxy/caller_connection.cpp
@@ -92,10 +92,14 @@
   Arrival = Delay.arrival(DecisionClock::now(), std::exchange(First, false));
   const auto Deadline = DecisionClock::now() + Limits.IdleTimeout;
   Socket.expires_at(toSteadyTime(Deadline));
-  const auto Result = Failure ? internal::resultOf(Failure)
-                              : readBody(Yield, Received, Deadline);
+  auto Result = Failure ? internal::resultOf(Failure)
+                        : readBody(Yield, Received, Deadline);
   Socket.expires_never();
+  if (Interrupted && Result == ReadResult::Closed) {
+    Result = ReadResult::ShuttingDown;
+  }
   if (Result != ReadResult::Complete) {
+    Interrupted = true; // Only a refusal is left to send.
     KeepAlive = false;
     return Result;
   }
@@ -105,6 +109,12 @@
   return Result;
 }
 
+void CallerConnection::interruptRead() {
+  if (Current == Phase::Receiving && !std::exchange(Interrupted, true)) {
+    Socket.cancel();
+  }
+}
+
 bool CallerConnection::receiving() {
   boost::system::error_code Failure;
   return Current == Phase::Receiving ||
--- a/src/goldcrestnotch/proxy/caller_connection.hpp
+++ b/src/goldcrestnotch/proxy/caller_connection.hpp
@@ -35,6 +35,7 @@
                 ///< the trailer section that of the buffer.
   BodyTooLarge, ///< The body exceeds the configured limit.
   BuffersFull,  ///< The VM holds too many long messages.
+  ShuttingDown, ///< The VM shuts down before the request has arrived.
 };
 
 /// @brief A connection from a caller. Only one coroutine uses it.
@@ -67,6 +68,9 @@
   [[nodiscard]] ReadResult read(boost::asio::yield_context Yield,
                                 const routing::CallerLimits &Limits,
                                 const LoopDelay &Delay);
+  /// @brief Ends the read of a request that has begun to arrive; does nothing
+  /// otherwise.
+  void interruptRead();
   /// @brief Calls `Callback` once if the caller closes the connection before
   /// `unwatch`.
   void watch(std::function<void()> Callback);
@@ -111,7 +115,8 @@
   Instant Arrival{};
   std::function<void()> OnGone;
   Phase Current = Phase::Idle;
-  bool First = true; ///< No request has been read yet.
+  bool Interrupted = false; ///< No request is read to its end any more.
+  bool First = true;        ///< No request has been read yet.
   bool Watching =
       false; ///< A wait for the socket to become readable is active.
   bool Gone = false;
--- a/src/goldcrestnotch/proxy/listener.cpp
+++ b/src/goldcrestnotch/proxy/listener.cpp
@@ -38,11 +38,26 @@
 static constexpr int BuffersFullStatus = 503;
 /// Seconds after which a caller may send a long request again.
 static constexpr const char *BuffersFullRetryAfter = "1";
+static constexpr int ShuttingDownStatus = 503;
+/// The caller may send the request to another VM at once.
+static constexpr const char *ShuttingDownRetryAfter = "0.1";
 /// Size of the receive buffer of a connection. It bounds the bytes in flight:
 /// many callers with long prompts must not delay the store's responses on a
 /// link of low bandwidth.
 static constexpr int ReceiveBufferBytes = 8'192;
 
+/// @brief Name of the counter of requests that could not be read.
+[[nodiscard]] static const char *counterOf(ReadResult Result) {
+  switch (Result) {
+  case ReadResult::BuffersFull:
+    return "long_requests_refused_total";
+  case ReadResult::ShuttingDown:
+    return "unread_requests_refused_total";
+  default:
+    return "malformed_requests_total";
+  }
+}
+
 } // namespace internal
 
 Listener::Listener(ProxyContext &Context, const http::Endpoint &Where,
@@ -93,6 +108,12 @@
                     [](const auto &Caller) { return Caller->receiving(); }));
 }
 
+void Listener::refuseReceiving() {
+  for (const auto &Caller : Connections) {
+    Caller->interruptRead();
+  }
+}
+
 void Listener::accept(asio::yield_context Yield) {
   asio::steady_timer Timer{Context.Loop};
   while (Acceptor.is_open()) {
@@ -190,10 +211,13 @@
     Cause = "buffers_full";
     Fields.set(wire::field::retry_after, internal::BuffersFullRetryAfter);
     break;
+  case ReadResult::ShuttingDown:
+    Status = internal::ShuttingDownStatus;
+    Cause = "shutting_down";
+    Fields.set(wire::field::retry_after, internal::ShuttingDownRetryAfter);
+    break;
   }
-  Context.Measured.count(Result == ReadResult::BuffersFull
-                             ? "long_requests_refused_total"
-                             : "malformed_requests_total");
+  Context.Measured.count(internal::counterOf(Result));
   logRequest(false,
              {{"status", static_cast<std::int64_t>(Status)}, {"cause", Cause}});
   const auto Deadline = DecisionClock::now() + internal::RejectTimeout;
--- a/src/goldcrestnotch/proxy/listener.hpp
+++ b/src/goldcrestnotch/proxy/listener.hpp
@@ -36,6 +36,10 @@
   /// not read whole.
   [[nodiscard]] std::size_t receiving() const;
 
+  /// @brief Refuses the requests that have begun to arrive and are not read
+  /// whole.
+  void refuseReceiving();
+
 private:
   /// @brief Accepts connections until the port is closed.
   void accept(boost::asio::yield_context Yield);
--- a/src/goldcrestnotch/proxy/proxy_context.hpp
+++ b/src/goldcrestnotch/proxy/proxy_context.hpp
@@ -66,12 +66,16 @@
   LoopDelay Delay;
   std::mt19937_64 Random{std::random_device{}()};
 
-  /// @brief Ends all attempts, so that their callers are told before the
-  /// process ends.
+  /// @brief Ends the attempts whose targets have sent nothing that is not read
+  /// yet, so that their callers are told before the process ends. No further
+  /// attempt begins.
   void endAttempts() {
     Ending = true;
     for (const auto &Connection : Active) {
-      Connection->Socket.close();
+      boost::system::error_code Failure;
+      if (Connection->Socket.socket().available(Failure) == 0) {
+        Connection->Socket.close();
+      }
     }
   }
 
--- a/test/platform/planned_stop_test.cpp
+++ b/test/platform/planned_stop_test.cpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <csignal>
 #include <future>
+#include <ostream>
 
 #include <gtest/gtest.h>
 
@@ -24,6 +25,36 @@
 /// configuration with so many routes, in one turn of its loop.
 constexpr int ManyRoutes = 40'000;
 
+/// @brief Head of an order whose body is still to be sent.
+std::string orderHead(const std::string &Framing) {
+  return "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\n"
+         "X-Goldcrestnotch-Attempt-Id: b1\r\n"
+         "X-Goldcrestnotch-Deadline-Ms: 8000\r\n"
+         "Authorization: Bearer key-1\r\n" +
+         Framing + "\r\n\r\n";
+}
+
+/// @brief A request in two parts.
+struct SplitRequest {
+  const char *Name;
+  std::string Begin;
+  std::string Rest;
+};
+
+void PrintTo(const SplitRequest &Request, std::ostream *Output) {
+  *Output << Request.Name;
+}
+
+const std::string ChunkedHead = orderHead("Transfer-Encoding: chunked");
+
+const SplitRequest SplitRequests[] = {
+    {"Head", ChunkedHead.substr(0, 40),
+     ChunkedHead.substr(40) + "4\r\nbody\r\n0\r\n\r\n"},
+    {"BodyWithALength", orderHead("Content-Length: 8") + "half", "body"},
+    {"BodyInChunks", ChunkedHead + "4\r\nhalf\r\n", "4\r\nbody\r\n0\r\n\r\n"},
+    {"ChunkHead", ChunkedHead + "4", "\r\nbody\r\n0\r\n\r\n"},
+    {"Trailer", ChunkedHead + "4\r\nbody\r\n0\r\n", "X-Sum: 1\r\n\r\n"}};
+
 class PlatformStop : public testing::Test {
 protected:
   void SetUp() override { ASSERT_TRUE(TestFleet.waitUntilReady()); }
@@ -54,6 +85,55 @@
   std::chrono::steady_clock::time_point Signal;
 };
 
+class PlatformStopWhileReading
+    : public PlatformStop,
+      public testing::WithParamInterface<SplitRequest> {};
+
+TEST_P(PlatformStopWhileReading, RequestThatArrivesInTimeIsServed) {
+  RawCaller Caller{Fleet::address(0), Fleet::CallerPort};
+  Caller.send(GetParam().Begin);
+  std::this_thread::sleep_for(milliseconds{100});
+  stop();
+  std::this_thread::sleep_for(milliseconds{300});
+  Caller.send(GetParam().Rest);
+  const auto Answer = Caller.receive();
+  EXPECT_EQ(Answer.status(), 200);
+  EXPECT_TRUE(Answer.complete()) << Answer.Bytes;
+  EXPECT_EQ(TestFleet.daemon().wait(ShutdownTimeoutMs), 0);
+}
+
+// The process ended as soon as no request that had been read was in progress.
+TEST_P(PlatformStopWhileReading, RequestThatArrivesLateIsAnswered) {
+  RawCaller Caller{Fleet::address(0), Fleet::CallerPort};
+  Caller.send(GetParam().Begin);
+  std::this_thread::sleep_for(milliseconds{100});
+  stop();
+  std::this_thread::sleep_for(AfterAcceptTime);
+  Caller.send(GetParam().Rest);
+  const auto Answer = Caller.receive();
+  EXPECT_EQ(Answer.status(), 503);
+  EXPECT_TRUE(Answer.complete()) << Answer.Bytes;
+  EXPECT_FALSE(Answer.Reset);
+  EXPECT_EQ(TestFleet.runs(), 0U);
+  EXPECT_EQ(TestFleet.daemon().wait(ShutdownTimeoutMs), 0);
+}
+
+TEST_P(PlatformStopWhileReading, RequestThatNeverEndsIsAnswered) {
+  RawCaller Caller{Fleet::address(0), Fleet::CallerPort};
+  stop();
+  std::this_thread::sleep_for(milliseconds{900});
+  Caller.send(GetParam().Begin);
+  const auto Answer = Caller.receive();
+  EXPECT_EQ(Answer.status(), 503);
+  EXPECT_TRUE(Answer.complete()) << Answer.Bytes;
+  EXPECT_FALSE(Answer.Reset);
+  EXPECT_EQ(TestFleet.daemon().wait(ShutdownTimeoutMs), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Parts, PlatformStopWhileReading,
+                         testing::ValuesIn(SplitRequests),
+                         [](const auto &Info) { return Info.param.Name; });
+
 /// @brief Gives a process a part of the processor only, by pausing it often.
 class CpuThrottle {
 public:
