LOST: a silent target is left only for another one that can go on

What callers saw: a resumable stream was reset although its target was still at work.

Cause: a target that sent nothing for 1.6 s was given up first, and then another one was looked for. If there was none, if the retry budget was used up, or if the other refused, the caller's connection was reset. The time was that of a timer of the socket, which an event loop that is late handles together with the bytes that arrived in time, so a late loop gave up targets that had sent.

SilenceWatch looks at the socket when its timer runs: bytes that wait there are no silence. A target is left only while another one that is neither paused, full nor limited could take over within the retry budget, and not while the VM shuts down, since the next attempt might not end in time. The cause of such an end is target_silent.

--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -15,6 +15,7 @@
 #include "goldcrestnotch/core/hash.hpp"
 #include "goldcrestnotch/escrow/retry_after.hpp"
 #include "goldcrestnotch/proxy/retry_after_header.hpp"
+#include "goldcrestnotch/proxy/silence_watch.hpp"
 #include "goldcrestnotch/proxy/upstream.hpp"
 #include "goldcrestnotch/proxy/wire_text.hpp"
 #include "goldcrestnotch/telemetry/log.hpp"
@@ -45,8 +46,6 @@
 /// response after the deadline of the request. A caller that states no deadline
 /// is served for as long as the route allows.
 static constexpr Millis DefaultTimeout{30'000};
-/// A resumable stream without data for this long is resumed at another target.
-static constexpr Millis StallTimeout{1'600};
 /// Rejected callers are told to retry after a random time between this and
 /// twice as long.
 static constexpr Millis MinRetryDelay{150};
@@ -265,13 +264,16 @@
   conclude(Step);
 }
 
+backend::TargetRequest Exchange::targetRequest() const {
+  return {Service,
+          Prompt && MatchedRoute->PrefixAffinity ? Prompt->SharedPrefix
+                                                 : std::string_view{},
+          TriedTargets, Prompt ? Prompt->Input.count() : 0,
+          Prompt ? Prompt->SharedInput.count() : 0};
+}
+
 std::shared_ptr<backend::Target> Exchange::chooseTarget() {
-  backend::TargetRequest Wanted{
-      Service,
-      Prompt && MatchedRoute->PrefixAffinity ? Prompt->SharedPrefix
-                                             : std::string_view{},
-      TriedTargets, Prompt ? Prompt->Input.count() : 0,
-      Prompt ? Prompt->SharedInput.count() : 0};
+  auto Wanted = targetRequest();
   const auto WaitDeadline = permitDeadline();
   const double VersionDraw = Context.draw();
   while (auto Target = pickTarget(Wanted, VersionDraw)) {
@@ -580,14 +582,13 @@
   const int Status = Remote.status();
   Framer.beginConnection();
   std::string Bytes;
+  SilenceWatch Silence{Context.Loop, Remote.connection(),
+                       [this] { return mayLeaveTarget(); }};
   while (!Remote.complete()) {
     Bytes.clear();
-    const bool MayResume = State.Resumable && State.Sent < State.MaxAttempts;
-    const auto StallDeadline = DecisionClock::now() + internal::StallTimeout;
-    Remote.connection()->Socket.expires_at(toSteadyTime(
-        MayResume && Caller.started() ? std::min(Deadline, StallDeadline)
-                                      : Deadline));
+    Silence.beginRead(DecisionClock::now());
     const bool ReadOk = Remote.readSome(Bytes);
+    Silence.endRead();
     const auto Batch = Framer.feed(Bytes);
     const bool Held = ResponseShare.resize(Framer.bufferedBytes());
     EventsForwarded += Batch.Count;
@@ -623,7 +624,8 @@
     }
     if (!ReadOk) {
       recordBreak(Remote);
-      Cause = lossCause(Remote, "stream_broken");
+      Cause =
+          Silence.left() ? "target_silent" : lossCause(Remote, "stream_broken");
       return DecisionClock::now() >= Deadline ? AttemptResult::DeadlineExceeded
                                               : AttemptResult::ResponseLost;
     }
@@ -643,6 +645,22 @@
   return AttemptResult::Completed;
 }
 
+bool Exchange::mayLeaveTarget() {
+  // While the VM shuts down, the next attempt might not end in time.
+  if (Context.Shutdown || !Caller.started() || !State.Resumable ||
+      State.Sent >= State.MaxAttempts || promptSuspect()) {
+    return false;
+  }
+  const auto Now = DecisionClock::now();
+  auto Wanted = targetRequest();
+  const auto Other = Context.RetryBudget.allows(Now, Service)
+                         ? pickTarget(Wanted, Context.draw())
+                         : nullptr;
+  // A target with a rate limit may refuse its permit.
+  return Other && !Other->RateLimit && !Other->missing() &&
+         Now >= Other->PausedUntil && Now >= Other->FullUntil;
+}
+
 bool Exchange::promptRefused() const {
   return Prompt &&
          Context.Quarantine.judge(DecisionClock::now(), Prompt->SharedParts) ==
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -71,6 +71,10 @@
   /// has a rate limit.
   /// @return Null if there is none.
   [[nodiscard]] std::shared_ptr<backend::Target> chooseTarget();
+  /// @brief What the request requires of a target that it was not sent to.
+  [[nodiscard]] backend::TargetRequest targetRequest() const;
+  /// @brief Whether a stream whose target is silent can go on at another one.
+  [[nodiscard]] bool mayLeaveTarget();
   /// @brief Picks a target of the version that the request goes to.
   /// @param VersionDraw Decides the version while the service moves to another.
   /// @return Null if none is eligible.
--- a/src/goldcrestnotch/proxy/fwd.hpp
+++ b/src/goldcrestnotch/proxy/fwd.hpp
@@ -12,6 +12,8 @@
 class TargetConnection;
 class ConnectionPool;
 class Listener;
+class ShutdownSchedule;
+class SilenceWatch;
 class Upstream;
 class BufferBudget;
 
--- /dev/null
+++ b/src/goldcrestnotch/proxy/silence_watch.cpp
@@ -0,0 +1,85 @@
+/// @file
+/// Implementation of the watch with a timer.
+
+#include "goldcrestnotch/proxy/silence_watch.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace goldcrestnotch::proxy {
+
+namespace internal {
+
+/// Silence after which a target may be left.
+static constexpr Millis SilenceTimeout{1'600};
+/// Interval between two checks of a target that can't be left yet.
+static constexpr Millis RecheckInterval{200};
+
+} // namespace internal
+
+class SilenceWatch::State : public std::enable_shared_from_this<State> {
+public:
+  State(boost::asio::io_context &Loop,
+        std::shared_ptr<TargetConnection> Connection,
+        std::function<bool()> MayLeave)
+      : Timer{Loop}, Connection{std::move(Connection)}, MayLeave{std::move(
+                                                            MayLeave)} {}
+
+  void awaitDeadline(Instant Next) {
+    Timer.expires_at(toSteadyTime(Next));
+    Timer.async_wait(
+        [Self = shared_from_this()](const boost::system::error_code &Failure) {
+          if (!Failure && Self->Active) {
+            Self->check(DecisionClock::now());
+          }
+        });
+  }
+
+  void end() {
+    Active = false;
+    Timer.cancel();
+  }
+
+  Instant Deadline = Instant::max(); ///< Of the read in progress, if any.
+  bool Left = false;
+
+private:
+  void check(Instant Now) {
+    boost::system::error_code Failure;
+    if (Now < Deadline || Connection->Socket.socket().available(Failure) > 0) {
+      awaitDeadline(
+          std::min(std::max(Deadline, Now + internal::RecheckInterval),
+                   Now + internal::SilenceTimeout));
+    } else if (MayLeave()) {
+      Left = true;
+      Connection->Socket.close();
+    } else {
+      awaitDeadline(Now + internal::RecheckInterval);
+    }
+  }
+
+  boost::asio::steady_timer Timer;
+  std::shared_ptr<TargetConnection> Connection;
+  std::function<bool()> MayLeave;
+  bool Active = true;
+};
+
+SilenceWatch::SilenceWatch(boost::asio::io_context &Loop,
+                           std::shared_ptr<TargetConnection> Connection,
+                           std::function<bool()> MayLeave)
+    : Watched{std::make_shared<State>(Loop, std::move(Connection),
+                                      std::move(MayLeave))} {
+  Watched->awaitDeadline(DecisionClock::now() + internal::SilenceTimeout);
+}
+
+SilenceWatch::~SilenceWatch() { Watched->end(); }
+
+void SilenceWatch::beginRead(Instant Now) noexcept {
+  Watched->Deadline = Now + internal::SilenceTimeout;
+}
+
+void SilenceWatch::endRead() noexcept { Watched->Deadline = Instant::max(); }
+
+bool SilenceWatch::left() const noexcept { return Watched->Left; }
+
+} // namespace goldcrestnotch::proxy
--- /dev/null
+++ b/src/goldcrestnotch/proxy/silence_watch.hpp
@@ -0,0 +1,46 @@
+/// @file
+/// Leaves a target that sends nothing for a long time, if its stream can go on
+/// at another one.
+
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "goldcrestnotch/proxy/target_connection.hpp"
+
+namespace goldcrestnotch::proxy {
+
+/// @brief Watches the connection to a target while its stream is read, and
+/// closes it once the target is to be left.
+///
+/// A target is silent only if no bytes of it wait to be read: an event loop
+/// that is late reads them late.
+class SilenceWatch {
+public:
+  /// @param MayLeave Whether another target can take over now. A target is not
+  /// left before; silence alone is no reason to end a stream.
+  SilenceWatch(boost::asio::io_context &Loop,
+               std::shared_ptr<TargetConnection> Connection,
+               std::function<bool()> MayLeave);
+  ~SilenceWatch();
+  SilenceWatch(const SilenceWatch &) = delete;
+  SilenceWatch &operator=(const SilenceWatch &) = delete;
+
+  /// @brief Records that a read begins.
+  void beginRead(Instant Now) noexcept;
+  /// @brief Records that the read has ended. Silence does not count until the
+  /// next one.
+  void endRead() noexcept;
+  /// @brief Whether the connection was closed because of its silence.
+  [[nodiscard]] bool left() const noexcept;
+
+private:
+  class State;
+  std::shared_ptr<State> Watched; ///< Shared with the timer's handler.
+};
+
+} // namespace goldcrestnotch::proxy
--- a/test/platform/planned_stop_test.cpp
+++ b/test/platform/planned_stop_test.cpp
@@ -134,6 +134,52 @@
                          testing::ValuesIn(SplitRequests),
                          [](const auto &Info) { return Info.param.Name; });
 
+/// @brief Two targets, of which one has begun a stream and is silent for longer
+/// than a target that can be replaced.
+class PlatformSilentTarget : public testing::Test {
+protected:
+  void SetUp() override {
+    ASSERT_TRUE(TestFleet.waitUntilReady());
+    for (int I = 0; I < 2; ++I) {
+      TestFleet.replica(I).Events = 2;
+      TestFleet.replica(I).EventDelayMs = 1'650;
+    }
+    Running =
+        std::async(std::launch::async, [this] { return TestFleet.call(Chat); });
+    ASSERT_TRUE(TestFleet.eventually([&] { return TestFleet.runs() == 1; }));
+  }
+  [[nodiscard]] UsersReplica &silent() {
+    return TestFleet.replica(TestFleet.replica(0).runs() == 1 ? 0 : 1);
+  }
+  [[nodiscard]] UsersReplica &other() {
+    return TestFleet.replica(TestFleet.replica(0).runs() == 1 ? 1 : 0);
+  }
+
+  Fleet TestFleet{2};
+  std::future<CallResult> Running;
+};
+
+// The silent target was given up first, and the caller's connection was reset
+// when no other one took the request.
+TEST_F(PlatformSilentTarget, IsKeptIfNoOtherCanGoOn) {
+  TestFleet.registerReplica(other(), "draining");
+  EXPECT_TRUE(Running.get().Complete);
+}
+
+TEST_F(PlatformSilentTarget, IsKeptWhileTheVmStops) {
+  other().CurrentBehavior = UsersReplica::Behavior::Full;
+  TestFleet.daemon().signal(SIGTERM);
+  EXPECT_TRUE(Running.get().Complete);
+}
+
+TEST_F(PlatformSilentTarget, IsLeftForOneThatGoesOn) {
+  other().EventDelayMs = 1;
+  silent().EventDelayMs = 9'000; // Before its second event.
+  const auto Answer = Running.get();
+  EXPECT_TRUE(Answer.Complete);
+  EXPECT_EQ(other().runs(), 1U);
+}
+
 /// @brief Gives a process a part of the processor only, by pausing it often.
 class CpuThrottle {
 public:
