LOST: streams that have begun run on until the time for last answers is over

What callers saw: a stream that was a few hundred milliseconds from its end was reset half a second before the kill.

Cause: all attempts were closed at once, so that callers without an answer could be told. A caller that has a part of its stream can't be told anything; it only loses the rest.

--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -76,19 +76,19 @@
 static constexpr std::size_t MaxBodyBytes = 4U << 20U;
 static constexpr std::string_view BearerPrefix = "Bearer ";
 
-/// @brief Lists a connection as active while an attempt waits for its response.
-class ActiveConnection {
+/// @brief Lists an attempt as active while it exists.
+class ActiveEntry {
 public:
-  ActiveConnection(ProxyContext &Context,
-                   const std::shared_ptr<TargetConnection> &Connection)
-      : Context{Context}, Position{Context.Active.insert(Connection)} {}
-  ~ActiveConnection() { Context.Active.erase(Position); }
-  ActiveConnection(const ActiveConnection &) = delete;
-  ActiveConnection &operator=(const ActiveConnection &) = delete;
+  ActiveEntry(ProxyContext &Context, ActiveAttempt Attempt)
+      : Context{Context}, Position{Context.Active.insert(Context.Active.end(),
+                                                         std::move(Attempt))} {}
+  ~ActiveEntry() { Context.Active.erase(Position); }
+  ActiveEntry(const ActiveEntry &) = delete;
+  ActiveEntry &operator=(const ActiveEntry &) = delete;
 
 private:
   ProxyContext &Context;
-  std::multiset<std::shared_ptr<TargetConnection>>::iterator Position;
+  std::list<ActiveAttempt>::iterator Position;
 };
 
 } // namespace internal
@@ -398,7 +398,7 @@
   Remote.send(Deadline);
   auto Result = AttemptResult::ResponseLost;
   {
-    const internal::ActiveConnection Waiting{Context, Connection};
+    const internal::ActiveEntry Listed{Context, {Connection, Caller}};
     Result = receiveResponse(Remote);
   }
   releaseTarget(Remote);
--- a/src/goldcrestnotch/proxy/proxy_context.hpp
+++ b/src/goldcrestnotch/proxy/proxy_context.hpp
@@ -5,11 +5,11 @@
 
 #include <cstddef>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
 #include <random>
-#include <set>
 
 #include <boost/asio/io_context.hpp>
 
@@ -18,6 +18,7 @@
 #include "goldcrestnotch/escrow/admission_gate.hpp"
 #include "goldcrestnotch/notices/shared_quarantine.hpp"
 #include "goldcrestnotch/proxy/buffer_budget.hpp"
+#include "goldcrestnotch/proxy/caller_connection.hpp"
 #include "goldcrestnotch/proxy/header_names.hpp"
 #include "goldcrestnotch/proxy/loop_delay.hpp"
 #include "goldcrestnotch/proxy/shutdown_schedule.hpp"
@@ -29,6 +30,12 @@
 
 namespace goldcrestnotch::proxy {
 
+/// @brief An attempt that waits for its response or passes it on.
+struct ActiveAttempt {
+  std::shared_ptr<TargetConnection> Connection;
+  const CallerConnection &Caller;
+};
+
 /// @brief Shared state of the exchanges of a VM.
 struct ProxyContext {
   boost::asio::io_context &Loop;
@@ -47,9 +54,7 @@
   /// current request.
   std::optional<ShutdownSchedule> Shutdown;
   bool Ending = false; ///< No attempt goes on; implies `Shutdown`.
-  /// Connections on which an attempt waits for its response. One may be listed
-  /// twice: it can be used again while the response before is still passed on.
-  std::multiset<std::shared_ptr<TargetConnection>> Active;
+  std::list<ActiveAttempt> Active;
   std::size_t InProgress = 0; ///< Exchanges whose request has been read.
 
   /// The latest traffic shift of each service.
@@ -66,18 +71,26 @@
   LoopDelay Delay;
   std::mt19937_64 Random{std::random_device{}()};
 
-  /// @brief Ends the attempts whose targets have sent nothing that is not read
-  /// yet, so that their callers are told before the process ends. No further
-  /// attempt begins.
-  void endAttempts() {
+  /// @brief Ends the attempts whose callers have no part of a response and
+  /// whose targets have sent nothing that is not read yet, so that the callers
+  /// are told before the process ends. No further attempt begins.
+  void endSilentAttempts() {
     Ending = true;
-    for (const auto &Connection : Active) {
+    for (const auto &Attempt : Active) {
       boost::system::error_code Failure;
-      if (Connection->Socket.socket().available(Failure) == 0) {
-        Connection->Socket.close();
+      if (!Attempt.Caller.started() &&
+          Attempt.Connection->Socket.socket().available(Failure) == 0) {
+        Attempt.Connection->Socket.close();
       }
     }
   }
+  /// @brief Ends all attempts.
+  void endAttempts() {
+    Ending = true;
+    for (const auto &Attempt : Active) {
+      Attempt.Connection->Socket.close();
+    }
+  }
 
   /// @brief Returns a uniformly distributed random number in [0, 1).
   [[nodiscard]] double draw() {
--- a/src/goldcrestnotch/proxy/shutdown_schedule.hpp
+++ b/src/goldcrestnotch/proxy/shutdown_schedule.hpp
@@ -45,13 +45,14 @@
                              Millis LoopDelay) const noexcept {
     return open(Now) || LatestEnd <= attemptDeadline(LoopDelay);
   }
-  /// @brief When attempts are given up, so that their callers are told. A loop
-  /// that is late needs more time for it.
+  /// @brief When attempts are given up whose responses have not begun, so that
+  /// their callers are told. A loop that is late needs more time for it.
   [[nodiscard]] Instant attemptDeadline(Millis LoopDelay) const noexcept {
     return KillTime -
            std::clamp(MinEndMargin + LoopDelay, MinEndMargin, MaxEndMargin);
   }
-  /// @brief Until when callers may get their answers.
+  /// @brief Until when callers may get their answers. The rest of the time is
+  /// for handing the tokens back.
   [[nodiscard]] Instant answerDeadline() const noexcept {
     return KillTime - MinEndMargin + LastAnswersTime;
   }
