--- a/test/platform/fleet.hpp
+++ b/test/platform/fleet.hpp
@@ -66,10 +66,12 @@
   /// Output tokens of one event of a chat stream.
   static constexpr std::int64_t EventTokens = 6;
 
+  /// @param GraceSeconds Time between SIGTERM and the kill, as the daemons are
+  /// told.
   explicit Fleet(int ReplicaCount = 2, int VmCount = 1,
-                 std::int64_t PrepaidTokens = 1'000'000)
-      : WorkGuard{Context.get_executor()}, Store{Context, {"127.0.0.1", 0}},
-        StoreLink{Context, Store.port()} {
+                 std::int64_t PrepaidTokens = 1'000'000, int GraceSeconds = 4)
+      : GraceSeconds{GraceSeconds}, WorkGuard{Context.get_executor()},
+        Store{Context, {"127.0.0.1", 0}}, StoreLink{Context, Store.port()} {
     for (int I = 0; I < ReplicaCount; ++I) {
       Replicas.push_back(std::make_unique<UsersReplica>(
           Context, "i-" + std::to_string(I), http::Endpoint{"127.0.0.1", 0}));
@@ -110,14 +112,14 @@
   void publish(int Version, std::int64_t PrepaidTokens,
                const std::vector<std::string> &Keys = {"key-1"},
                int MoreRoutes = 0) {
-    const auto Route = [](const char *Name, const char *Prefix,
-                          const char *Kind, bool Resumable,
-                          int MaxAttempts = 2) {
+    const auto Route = [this](const char *Name, const char *Prefix,
+                              const char *Kind, bool Resumable,
+                              int MaxAttempts = 2) {
       return json{{"name", Name},
                   {"host", Host},
                   {"pathPrefix", Prefix},
                   {"kind", Kind},
-                  {"timeoutMs", 4'000},
+                  {"timeoutMs", RouteTimeoutMs},
                   {"sloMs", 400},
                   {"priority", 0},
                   {"service", "engines"},
@@ -272,6 +274,8 @@
   /// First of the ports for datagrams between VMs.
   static constexpr std::uint16_t FirstPeerPort = 17'340;
 
+  const int GraceSeconds;     ///< Time between SIGTERM and the kill.
+  int RouteTimeoutMs = 4'000; ///< Of all routes, from the next version on.
   /// Never destroyed: its destruction would unwind coroutines that are still
   /// suspended at the end of a test, and these refer to destroyed members.
   boost::asio::io_context &Context = *new boost::asio::io_context;
@@ -307,8 +311,9 @@
            AddressAt(CallerPort) + "ready = " + AddressAt(ReadyPort) +
            "control = " + AddressAt(ControlPort) +
            "directory = " + AddressAt(DirectoryPort) +
-           "[bounds]\ngraceS = 4\ndrainMs = 2000\nconfigApplyMs = 2000\n" +
-           "ttl_max_s = 1\n" + "[platform]\naddress = \"127.0.0.1:" +
+           "[bounds]\ngraceS = " + std::to_string(GraceSeconds) +
+           "\ndrainMs = 2000\nconfigApplyMs = 2000\n" + "ttl_max_s = 1\n" +
+           "[platform]\naddress = \"127.0.0.1:" +
            std::to_string(VmStoreLinks[static_cast<std::size_t>(Vm)]->port()) +
            "\"\n";
   }
--- a/test/platform/planned_stop_test.cpp
+++ b/test/platform/planned_stop_test.cpp
@@ -2,13 +2,13 @@
 /// End-to-end tests of what callers get whose requests are in progress, or on
 /// their way, when a daemon is told to stop.
 
-#include <atomic>
 #include <csignal>
 #include <future>
 #include <ostream>
 
 #include <gtest/gtest.h>
 
+#include "cpu_throttle.hpp"
 #include "fleet.hpp"
 #include "raw_caller.hpp"
 
@@ -180,34 +180,6 @@
   EXPECT_EQ(other().runs(), 1U);
 }
 
-/// @brief Gives a process a part of the processor only, by pausing it often.
-class CpuThrottle {
-public:
-  explicit CpuThrottle(pid_t Process) : Process{Process} {}
-  ~CpuThrottle() {
-    Ending = true;
-    Pausing.join();
-    ::kill(Process, SIGCONT);
-  }
-  CpuThrottle(const CpuThrottle &) = delete;
-  CpuThrottle &operator=(const CpuThrottle &) = delete;
-
-private:
-  static constexpr milliseconds RunTime{2};
-  static constexpr milliseconds PauseTime{18};
-
-  pid_t Process;
-  std::atomic<bool> Ending{false};
-  std::thread Pausing{[this] {
-    while (!Ending) {
-      ::kill(Process, SIGSTOP);
-      std::this_thread::sleep_for(PauseTime);
-      ::kill(Process, SIGCONT);
-      std::this_thread::sleep_for(RunTime);
-    }
-  }};
-};
-
 // Requests were accepted for a third of the limit after the signal had been
 // handled, and cut off when the process was killed.
 TEST_F(PlatformStop, LateLoopCountsFromTheArrivalOfTheSignal) {
