BUDGET: each form of a crash is evidence against the prompts that its target had not answered

What callers saw: requests with a part that crashes targets were sent on long after the fifth crash, and the streams of others at these targets ended with them.

Cause: a crash counted only if the connection ended within 300 ms after the head of the response. Silence until the caller left, an end before the head or later than that said nothing, and neither a new run of the target nor refused connections were taken as signs of a crash.

- OpenAnswers remembers the prompts that targets are at work on, and lost ones for a while.
They become evidence when their target is known to have ended: its connection breaks behind the head, it refuses connections, it has registered a new run, or a probe of it hangs (only prompts whose responses had begun).
- Prompts whose responses had begun count as before (three crashes); those that only waited need five, since all that wait at a target end in the same way.
A sound answer clears both.
- Notices state which of the two they are; older VMs read them as before.
The age of a repeated notice counted from its first sending, not from the crash.

--- a/src/goldcrestnotch/notices/message.cpp
+++ b/src/goldcrestnotch/notices/message.cpp
@@ -65,8 +65,12 @@
 }
 
 [[nodiscard]] static json toJson(const CrashNotice &Source) {
-  return {Kind::Crash, Source.Ended.NameHash, Source.Ended.Incarnation,
-          toJson(Source.Parts), ageJson(Source.Age)};
+  return {Kind::Crash,
+          Source.Ended.NameHash,
+          Source.Ended.Incarnation,
+          toJson(Source.Parts),
+          ageJson(Source.Age),
+          Source.Evidence == quarantine::CrashEvidence::Waiting};
 }
 
 [[nodiscard]] static json toJson(const ClearanceNotice &Source) {
@@ -115,6 +119,15 @@
   return Result;
 }
 
+/// @brief What a crash notice says of its prompt. VMs of earlier versions
+/// report only responses that had begun.
+[[nodiscard]] static quarantine::CrashEvidence evidenceOf(const json &Crash) {
+  constexpr std::size_t WaitingField = 5;
+  return Crash.size() > WaitingField && Crash.at(WaitingField).get<bool>()
+             ? quarantine::CrashEvidence::Waiting
+             : quarantine::CrashEvidence::Begun;
+}
+
 } // namespace internal
 
 std::string encode(const Message &Source) {
@@ -142,7 +155,8 @@
       return CrashNotice{{internal::unsignedOf(Document.at(1)),
                           internal::unsignedOf(Document.at(2))},
                          internal::partsOf(Document.at(3)),
-                         internal::ageOf(Document.at(4))};
+                         internal::ageOf(Document.at(4)),
+                         internal::evidenceOf(Document)};
     case internal::Kind::Clearance:
       return ClearanceNotice{internal::partsOf(Document.at(1))};
     case internal::Kind::Leaving:
--- a/src/goldcrestnotch/notices/message.hpp
+++ b/src/goldcrestnotch/notices/message.hpp
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "goldcrestnotch/core/instant.hpp"
-#include "goldcrestnotch/quarantine/prompt_part.hpp"
+#include "goldcrestnotch/quarantine/part_quarantine.hpp"
 #include "goldcrestnotch/store/log.hpp"
 
 namespace goldcrestnotch::notices {
@@ -49,11 +49,12 @@
   bool Complete = true; ///< The lists above contain all such targets.
 };
 
-/// @brief Says that the response to a prompt broke off at its beginning.
+/// @brief Says that a target ended before it had answered a prompt.
 struct CrashNotice {
   quarantine::TargetRun Ended;
   std::vector<quarantine::PromptPart> Parts; ///< Shared parts of the prompt.
   Millis Age{0}; ///< Time since then, when the message is sent.
+  quarantine::CrashEvidence Evidence = quarantine::CrashEvidence::Begun;
 };
 
 /// @brief Says that a prompt with these parts was answered.
--- a/src/goldcrestnotch/notices/notice_socket.cpp
+++ b/src/goldcrestnotch/notices/notice_socket.cpp
@@ -66,13 +66,16 @@
 
 void NoticeSocket::broadcast(const Message &Content) {
   sendToAll(Content);
-  Recent.push_back({Content, DecisionClock::now(), internal::BroadcastRepeats});
+  const auto *Crash = std::get_if<CrashNotice>(&Content);
+  Recent.push_back({Content,
+                    DecisionClock::now() - (Crash ? Crash->Age : Millis{0}),
+                    internal::BroadcastRepeats});
 }
 
 void NoticeSocket::repeatBroadcasts() {
   for (auto &Entry : Recent) {
     if (auto *Crash = std::get_if<CrashNotice>(&Entry.Content)) {
-      Crash->Age = DecisionClock::now() - Entry.Sent;
+      Crash->Age = DecisionClock::now() - Entry.Happened;
     }
     sendToAll(Entry.Content);
     --Entry.RepeatsLeft;
--- a/src/goldcrestnotch/notices/notice_socket.hpp
+++ b/src/goldcrestnotch/notices/notice_socket.hpp
@@ -55,7 +55,7 @@
 private:
   struct Broadcast {
     Message Content;
-    Instant Sent{}; ///< For the first time.
+    Instant Happened{}; ///< What the message tells.
     int RepeatsLeft = 0;
   };
 
--- a/src/goldcrestnotch/notices/shared_quarantine.cpp
+++ b/src/goldcrestnotch/notices/shared_quarantine.cpp
@@ -24,6 +24,11 @@
   return Result;
 }
 
+[[nodiscard]] static quarantine::TargetRun
+runOf(const backend::Registration &Target) {
+  return {hashOf(Target.Name.str()), Target.Incarnation};
+}
+
 } // namespace internal
 
 void SharedQuarantine::reportCrash(Instant Now,
@@ -32,18 +37,55 @@
   if (Shared.empty()) {
     return;
   }
-  const CrashNotice Notice{
-      {hashOf(Target.Name.str()), Target.Incarnation}, Shared, Millis{0}};
+  const CrashNotice Notice{internal::runOf(Target), Shared, Millis{0}};
   log(LogLevel::Warn, "prompt.broke_off",
       {{"target", Target.Name.str()}, {"parts", internal::toText(Shared)}});
   observeCrash(Now, Notice, "target");
   Socket.broadcast(Notice);
 }
 
+quarantine::OpenAnswers::Key
+SharedQuarantine::open(Instant Now, const backend::Registration &Target,
+                       const Parts &Shared) {
+  return Open.open(Now, internal::runOf(Target), Shared);
+}
+
+void SharedQuarantine::reportEnd(Instant Now,
+                                 const backend::Registration &Target,
+                                 bool OnlyBegun) {
+  report(Now, Open.endRun(internal::runOf(Target), OnlyBegun),
+         OnlyBegun ? "unreachable" : "refuses_connections");
+}
+
+void SharedQuarantine::observeRun(Instant Now,
+                                  const backend::Registration &Target) {
+  report(Now, Open.startRun(internal::runOf(Target)), "new_run");
+}
+
+void SharedQuarantine::report(
+    Instant Now, const std::vector<quarantine::UnansweredPrompt> &Prompts,
+    const char *Sign) {
+  for (const auto &Prompt : Prompts) {
+    if (Prompt.Parts.empty()) {
+      continue;
+    }
+    const CrashNotice Notice{Prompt.Run, Prompt.Parts, Now - Prompt.Since,
+                             Prompt.Begun ? quarantine::CrashEvidence::Begun
+                                          : quarantine::CrashEvidence::Waiting};
+    log(LogLevel::Warn, "prompt.target_ended",
+        {{"run", static_cast<std::int64_t>(Prompt.Run.Incarnation)},
+         {"parts", internal::toText(Prompt.Parts)},
+         {"begun", Prompt.Begun},
+         {"sign", std::string{Sign}}});
+    observeCrash(Now, Notice, "target");
+    Socket.broadcast(Notice);
+  }
+}
+
 void SharedQuarantine::observeCrash(Instant Now, const CrashNotice &Notice,
                                     const char *Source) {
-  const auto Quarantined = Quarantine.observeCrash(Now, Now - Notice.Age,
-                                                   Notice.Ended, Notice.Parts);
+  const auto Quarantined = Quarantine.observeCrash(
+      Now, Now - Notice.Age, Notice.Ended, Notice.Parts, Notice.Evidence);
   if (!Quarantined.empty()) {
     Counters.count("prompt_parts_quarantined_total", Quarantined.size());
     log(LogLevel::Warn, "prompt.quarantined",
@@ -63,7 +105,8 @@
 
 void SharedQuarantine::handle(Instant Now, const CrashNotice &Notice) {
   // Repeats differ in their age only.
-  const CrashNotice First{Notice.Ended, Notice.Parts, Millis{0}};
+  const CrashNotice First{Notice.Ended, Notice.Parts, Millis{0},
+                          Notice.Evidence};
   const auto [It, New] =
       Taken.emplace(hashOf(encode(First)), Now + internal::RepeatTime);
   if (New) {
@@ -84,6 +127,7 @@
 
 void SharedQuarantine::maintain(Instant Now) {
   Quarantine.expire(Now);
+  Open.expire(Now);
   std::erase_if(Taken, [&](const auto &Entry) { return Now >= Entry.second; });
   Counters.set("prompt_parts_quarantined",
                static_cast<double>(Quarantine.quarantined(Now).size()));
--- a/src/goldcrestnotch/notices/shared_quarantine.hpp
+++ b/src/goldcrestnotch/notices/shared_quarantine.hpp
@@ -11,6 +11,7 @@
 #include "goldcrestnotch/backend/target.hpp"
 #include "goldcrestnotch/notices/message.hpp"
 #include "goldcrestnotch/notices/notice_socket.hpp"
+#include "goldcrestnotch/quarantine/open_answers.hpp"
 #include "goldcrestnotch/quarantine/part_quarantine.hpp"
 #include "goldcrestnotch/telemetry/metrics.hpp"
 
@@ -37,10 +38,24 @@
     return Quarantine.quarantined(Now);
   }
 
-  /// @brief Records that a target's response to a prompt broke off at its
-  /// beginning, and tells the other VMs.
+  /// @brief Records that a prompt was sent to a target.
+  [[nodiscard]] quarantine::OpenAnswers::Key
+  open(Instant Now, const backend::Registration &Target, const Parts &Shared);
+  /// @brief The answers that are not known to be sound.
+  [[nodiscard]] quarantine::OpenAnswers &openAnswers() noexcept { return Open; }
+  /// @brief Records that a target's response to a prompt broke off before it
+  /// was known to be sound, and tells the other VMs.
   void reportCrash(Instant Now, const backend::Registration &Target,
                    const Parts &Shared);
+  /// @brief Records that a target refuses connections, or that its open
+  /// connections are silent and new ones hang: the prompts that it has not
+  /// answered may have crashed it.
+  /// @param OnlyBegun Counts only the prompts whose responses had begun.
+  void reportEnd(Instant Now, const backend::Registration &Target,
+                 bool OnlyBegun);
+  /// @brief Records that a target has registered a run: its earlier runs have
+  /// ended.
+  void observeRun(Instant Now, const backend::Registration &Target);
   /// @brief Records that a prompt was answered; the other VMs are told if one
   /// of its parts was under suspicion.
   void reportAnswer(Instant Now, const Parts &Shared);
@@ -53,10 +68,14 @@
 
 private:
   void observeCrash(Instant Now, const CrashNotice &Notice, const char *Source);
+  void report(Instant Now,
+              const std::vector<quarantine::UnansweredPrompt> &Prompts,
+              const char *Sign);
 
   NoticeSocket &Socket;
   Metrics &Counters;
   quarantine::PartQuarantine Quarantine;
+  quarantine::OpenAnswers Open;
   /// Hashes of the reports of other VMs that have been taken, which arrive more
   /// than once, and until when they are remembered.
   std::map<std::uint64_t, Instant> Taken;
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -60,9 +60,6 @@
 static constexpr std::uint64_t MinEventsForGap = 4;
 /// Events after which a stream counts as evidence about its target's version.
 static constexpr std::uint64_t EventsForEvidence = 8;
-/// A response that breaks off within this time after its head may have crashed
-/// its target.
-static constexpr Millis EarlyBreak{300};
 /// A target that is still running this long after it began to respond has not
 /// been crashed by the prompt.
 static constexpr Millis SoundAnswer{500};
@@ -101,6 +98,9 @@
 }
 
 Exchange::~Exchange() {
+  if (Open) {
+    Context.Quarantine.openAnswers().lose(DecisionClock::now(), *Open);
+  }
   Caller.unwatch();
   --Context.InProgress;
 }
@@ -360,6 +360,10 @@
     } catch (const Error &Failure) {
       ++State.Unreachable;
       Cause = Failure.code();
+      if (Cause == ConnectionPool::RefusedConnection) {
+        Context.Quarantine.reportEnd(DecisionClock::now(), Target->Registered,
+                                     false);
+      }
       return AttemptResult::Unreachable;
     }
   }
@@ -394,13 +398,17 @@
   AttemptSent = DecisionClock::now();
   TimeToFirstByte = Millis{0};
   EvidenceRecorded = false;
-  AnswerRecorded = false;
+  if (Prompt) {
+    Open = Context.Quarantine.open(AttemptSent, Target->Registered,
+                                   Prompt->SharedParts);
+  }
   Remote.send(Deadline);
   auto Result = AttemptResult::ResponseLost;
   {
     const internal::ActiveEntry Listed{Context, {Connection, Caller}};
     Result = receiveResponse(Remote);
   }
+  recordEnd(Remote, Result);
   releaseTarget(Remote);
   if (Context.Ending && Result == AttemptResult::ResponseLost) {
     Cause = "shutting_down";
@@ -428,6 +436,9 @@
                                             : AttemptResult::ResponseLost;
   }
   HeadReceived = DecisionClock::now();
+  if (Open) {
+    Context.Quarantine.openAnswers().begin(HeadReceived, *Open);
+  }
   TimeToFirstByte = HeadReceived - AttemptSent;
   recordRateLimit(Remote);
   recordTargetState(Remote);
@@ -583,7 +594,7 @@
   Framer.beginConnection();
   std::string Bytes;
   SilenceWatch Silence{Context.Loop, Remote.connection(),
-                       [this] { return mayLeaveTarget(); }};
+                       [this, &Remote] { return observeSilence(Remote); }};
   while (!Remote.complete()) {
     Bytes.clear();
     Silence.beginRead(DecisionClock::now());
@@ -623,7 +634,6 @@
       return AttemptResult::ResponseLost;
     }
     if (!ReadOk) {
-      recordBreak(Remote);
       Cause =
           Silence.left() ? "target_silent" : lossCause(Remote, "stream_broken");
       return DecisionClock::now() >= Deadline ? AttemptResult::DeadlineExceeded
@@ -673,17 +683,42 @@
              quarantine::Verdict::Sound;
 }
 
-void Exchange::recordBreak(Upstream &Remote) {
+bool Exchange::observeSilence(Upstream &Remote) {
+  if (Open && Context.ProbeTarget) {
+    Context.ProbeTarget(Remote.target().Registered);
+  }
+  return mayLeaveTarget();
+}
+
+void Exchange::recordEnd(Upstream &Remote, AttemptResult Result) {
+  const auto Key = std::exchange(Open, std::nullopt);
+  if (!Key) {
+    return;
+  }
   const auto Now = DecisionClock::now();
-  if (Prompt && Remote.brokenOff() && !Caller.gone() &&
-      Now - HeadReceived < internal::EarlyBreak) {
+  const bool Lost = Result == AttemptResult::ResponseLost ||
+                    Result == AttemptResult::DeadlineExceeded;
+  // Bytes that are no answer were sent by a target that is running, and this VM
+  // itself ends attempts when it stops.
+  if (!Lost || Remote.malformed() || Context.Ending) {
+    Context.Quarantine.openAnswers().close(*Key);
+    return;
+  }
+  if (Remote.brokenOff() && Remote.headReceived()) {
+    Context.Quarantine.openAnswers().close(*Key);
     Context.Quarantine.reportCrash(Now, Remote.target().Registered,
                                    Prompt->SharedParts);
+    return;
+  }
+  Context.Quarantine.openAnswers().lose(Now, *Key);
+  if (Remote.brokenOff() && Context.ProbeTarget) {
+    Context.ProbeTarget(Remote.target().Registered);
   }
 }
 
 void Exchange::recordSoundAnswer() {
-  if (Prompt && !std::exchange(AnswerRecorded, true)) {
+  if (const auto Key = std::exchange(Open, std::nullopt)) {
+    Context.Quarantine.openAnswers().close(*Key);
     Context.Quarantine.reportAnswer(DecisionClock::now(), Prompt->SharedParts);
   }
 }
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -116,8 +116,11 @@
   /// @brief Whether the request must not be sent again, since the lost response
   /// may be due to its prompt.
   [[nodiscard]] bool promptSuspect() const;
-  /// @brief Records that a response broke off, if that was at its beginning.
-  void recordBreak(Upstream &Remote);
+  /// @brief Finds out whether a target that sends nothing has ended, and
+  /// returns whether it is to be left.
+  [[nodiscard]] bool observeSilence(Upstream &Remote);
+  /// @brief Records how an attempt ended that is not known to be sound.
+  void recordEnd(Upstream &Remote, AttemptResult Result);
   /// @brief Records that the target is still running a while after it began to
   /// respond.
   void recordSoundAnswer();
@@ -148,8 +151,9 @@
   BufferBudget::Share ResponseShare; ///< Of the bytes that are buffered.
   std::uint64_t EventsForwarded = 0; ///< Events with an id.
   Instant AttemptSent{};             ///< When the last attempt was sent.
-  Instant HeadReceived{};      ///< When the response to it began to arrive.
-  bool AnswerRecorded = false; ///< The response counts for its prompt.
+  Instant HeadReceived{}; ///< When the response to it began to arrive.
+  /// The prompt at the target, until the response is known to be sound.
+  std::optional<quarantine::OpenAnswers::Key> Open;
   /// From `AttemptSent` to the response head; for streams, to the first event.
   Millis TimeToFirstByte{0};
   Instant FirstEventTime{}; ///< The epoch if no event has been received.
--- a/src/goldcrestnotch/proxy/fwd.hpp
+++ b/src/goldcrestnotch/proxy/fwd.hpp
@@ -10,6 +10,7 @@
 class CallerConnection;
 class Forwarder;
 class TargetConnection;
+class TargetProbe;
 class ConnectionPool;
 class Listener;
 class ShutdownSchedule;
--- a/src/goldcrestnotch/proxy/proxy_context.hpp
+++ b/src/goldcrestnotch/proxy/proxy_context.hpp
@@ -64,6 +64,8 @@
   std::function<void(const TargetId &, std::int64_t)> AnnouncePrompt;
   /// Tells other VMs that a target has stated that it leaves; may be empty.
   std::function<void(const backend::Registration &)> AnnounceLeaving;
+  /// Finds out whether a silent target has ended; may be empty.
+  std::function<void(const backend::Registration &)> ProbeTarget;
   /// Returns how long the store has not answered; zero if it is reachable.
   std::function<Millis()> StoreOutage;
   /// Returns whether what this VM knows is too old to decide by.
--- a/src/goldcrestnotch/proxy/silence_watch.cpp
+++ b/src/goldcrestnotch/proxy/silence_watch.cpp
@@ -21,9 +21,9 @@
 public:
   State(boost::asio::io_context &Loop,
         std::shared_ptr<TargetConnection> Connection,
-        std::function<bool()> MayLeave)
-      : Timer{Loop}, Connection{std::move(Connection)}, MayLeave{std::move(
-                                                            MayLeave)} {}
+        std::function<bool()> OnSilence)
+      : Timer{Loop}, Connection{std::move(Connection)}, OnSilence{std::move(
+                                                            OnSilence)} {}
 
   void awaitDeadline(Instant Next) {
     Timer.expires_at(toSteadyTime(Next));
@@ -50,7 +50,7 @@
       awaitDeadline(
           std::min(std::max(Deadline, Now + internal::RecheckInterval),
                    Now + internal::SilenceTimeout));
-    } else if (MayLeave()) {
+    } else if (OnSilence()) {
       Left = true;
       Connection->Socket.close();
     } else {
@@ -60,15 +60,15 @@
 
   boost::asio::steady_timer Timer;
   std::shared_ptr<TargetConnection> Connection;
-  std::function<bool()> MayLeave;
+  std::function<bool()> OnSilence;
   bool Active = true;
 };
 
 SilenceWatch::SilenceWatch(boost::asio::io_context &Loop,
                            std::shared_ptr<TargetConnection> Connection,
-                           std::function<bool()> MayLeave)
+                           std::function<bool()> OnSilence)
     : Watched{std::make_shared<State>(Loop, std::move(Connection),
-                                      std::move(MayLeave))} {
+                                      std::move(OnSilence))} {
   Watched->awaitDeadline(DecisionClock::now() + internal::SilenceTimeout);
 }
 
--- a/src/goldcrestnotch/proxy/silence_watch.hpp
+++ b/src/goldcrestnotch/proxy/silence_watch.hpp
@@ -21,11 +21,11 @@
 /// that is late reads them late.
 class SilenceWatch {
 public:
-  /// @param MayLeave Whether another target can take over now. A target is not
-  /// left before; silence alone is no reason to end a stream.
+  /// @param OnSilence Called again and again while the target is silent.
+  /// Returns whether to leave it; silence alone is no reason to end a stream.
   SilenceWatch(boost::asio::io_context &Loop,
                std::shared_ptr<TargetConnection> Connection,
-               std::function<bool()> MayLeave);
+               std::function<bool()> OnSilence);
   ~SilenceWatch();
   SilenceWatch(const SilenceWatch &) = delete;
   SilenceWatch &operator=(const SilenceWatch &) = delete;
--- a/src/goldcrestnotch/proxy/target_connection.cpp
+++ b/src/goldcrestnotch/proxy/target_connection.cpp
@@ -63,7 +63,10 @@
                                      Yield[Failure]);
   }
   if (Failure) {
-    throw Error{503, "target_unreachable",
+    throw Error{503,
+                Failure == asio::error::connection_refused
+                    ? RefusedConnection
+                    : "target_unreachable",
                 "cannot connect to target at " + To.Endpoint.str() + ": " +
                     Failure.message()};
   }
--- a/src/goldcrestnotch/proxy/target_connection.hpp
+++ b/src/goldcrestnotch/proxy/target_connection.hpp
@@ -57,6 +57,9 @@
   /// @return Null if there is none that can be reused.
   [[nodiscard]] std::shared_ptr<TargetConnection>
   acquire(Instant Now, const backend::Registration &To);
+  /// Code of the error if nothing listens at the target's address.
+  static constexpr const char *RefusedConnection = "target_refused_connection";
+
   /// @brief Opens a connection.
   /// @throws Error with verdict `not-run`.
   [[nodiscard]] std::shared_ptr<TargetConnection>
--- a/src/goldcrestnotch/proxy/upstream.cpp
+++ b/src/goldcrestnotch/proxy/upstream.cpp
@@ -83,12 +83,12 @@
     wire::async_read_header(Connection->Socket, Connection->Buffer, *Response,
                             Yield[Failure]);
     if (Failure) {
-      Malformed = internal::isMalformed(Failure);
-      Silent = Failure == boost::beast::error::timeout;
+      recordFailure(Failure);
       return false;
     }
     const auto EchoedId = Response->get()[HeaderName];
     if (view(EchoedId) == AttemptId) {
+      HeadReceived = true;
       return true;
     }
     // A response without an id may belong to an earlier request. If there was
@@ -104,6 +104,13 @@
   return false;
 }
 
+void Upstream::recordFailure(const boost::system::error_code &Failure) {
+  Malformed = internal::isMalformed(Failure);
+  Silent = Failure == boost::beast::error::timeout;
+  BrokenOff =
+      !Malformed && !Silent && Failure != asio::error::operation_aborted;
+}
+
 bool Upstream::readSome(std::string &Body) {
   ReadBuffer.resize(internal::ReadBufferBytes);
   Response->get().body().data = ReadBuffer.data();
@@ -117,10 +124,7 @@
     // The timer of the socket only ends reads that wait for bytes.
     return Response->is_done() || DecisionClock::now() < Deadline;
   }
-  Malformed = internal::isMalformed(Failure);
-  Silent = Failure == boost::beast::error::timeout;
-  BrokenOff =
-      !Malformed && !Silent && Failure != asio::error::operation_aborted;
+  recordFailure(Failure);
   return false;
 }
 
--- a/src/goldcrestnotch/proxy/upstream.hpp
+++ b/src/goldcrestnotch/proxy/upstream.hpp
@@ -54,8 +54,8 @@
   [[nodiscard]] int status() const {
     return static_cast<int>(Response->get().result_int());
   }
-  /// @brief Whether the target ended or lost the connection while the response
-  /// was read. A deadline or malformed bytes are no such end.
+  /// @brief Whether the target ended or lost the connection before the end of
+  /// the response. A deadline or malformed bytes are no such end.
   [[nodiscard]] bool brokenOff() const noexcept { return BrokenOff; }
   /// @brief Whether the response ended because its target sent nothing until a
   /// deadline.
@@ -63,6 +63,8 @@
   /// @brief Whether the target sent bytes that are no valid response, or a
   /// chunk head or trailer section without end.
   [[nodiscard]] bool malformed() const noexcept { return Malformed; }
+  /// @brief Whether the head of the response has been read.
+  [[nodiscard]] bool headReceived() const noexcept { return HeadReceived; }
   /// @brief Whether the whole response has been read.
   [[nodiscard]] bool complete() const { return Response->is_done(); }
 
@@ -92,6 +94,9 @@
   void release(ConnectionPool &Pool);
 
 private:
+  /// @brief Records why a read has failed.
+  void recordFailure(const boost::system::error_code &Failure);
+
   /// @brief The request, which must exist until the write has ended.
   struct PendingRequest {
     WireRequest Message;
@@ -107,6 +112,7 @@
   std::optional<Parser> Response;
   std::string ReadBuffer;
   Instant Deadline = Instant::max(); ///< For the whole response.
+  bool HeadReceived = false;
   bool BrokenOff = false;
   bool Malformed = false;
   bool Silent = false;
--- a/src/goldcrestnotch/quarantine/fwd.hpp
+++ b/src/goldcrestnotch/quarantine/fwd.hpp
@@ -7,6 +7,8 @@
 
 struct PromptPart;
 struct TargetRun;
+struct UnansweredPrompt;
+class OpenAnswers;
 class PartQuarantine;
 
 } // namespace goldcrestnotch::quarantine
--- a/src/goldcrestnotch/quarantine/part_quarantine.cpp
+++ b/src/goldcrestnotch/quarantine/part_quarantine.cpp
@@ -52,7 +52,8 @@
       return Verdict::Refused;
     }
     const auto It = Suspicions.find(Part);
-    if (It != Suspicions.end() && It->second.Moments.size() >= SuspectCrashes) {
+    if (It != Suspicions.end() &&
+        reaches(It->second, SuspectCrashes, SuspectLosses)) {
       Result = Verdict::Suspect;
     }
   }
@@ -89,37 +90,48 @@
   return Answered.contains(Part) || AnsweredEarlier.contains(Part);
 }
 
-void PartQuarantine::add(Suspicion &Evidence, Instant When, TargetRun Ended) {
-  if (Evidence.Crashes.size() < MaxCrashesKept) {
-    Evidence.Crashes.insert(Ended);
+void PartQuarantine::add(Suspicion &Held, Instant When, TargetRun Ended,
+                         CrashEvidence Evidence) {
+  if (Held.Crashes.size() < MaxCrashesKept) {
+    Held.Crashes.insert(Ended);
+  }
+  if (Evidence == CrashEvidence::Begun &&
+      Held.BegunCrashes.size() < MaxCrashesKept) {
+    Held.BegunCrashes.insert(Ended);
   }
   const bool Correlated = std::any_of(
-      Evidence.Moments.begin(), Evidence.Moments.end(), [&](Instant Moment) {
+      Held.Moments.begin(), Held.Moments.end(), [&](Instant Moment) {
         return std::chrono::abs(When - Moment) < CorrelationTime;
       });
-  if (!Correlated && Evidence.Moments.size() < MaxCrashesKept) {
-    Evidence.Moments.push_back(When);
+  if (!Correlated && Held.Moments.size() < MaxCrashesKept) {
+    Held.Moments.push_back(When);
   }
 }
 
+bool PartQuarantine::reaches(const Suspicion &Held, std::size_t BegunCrashes,
+                             std::size_t Crashes) {
+  const auto Moments = Held.Moments.size();
+  return std::min(Held.BegunCrashes.size(), Moments) >= BegunCrashes ||
+         std::min(Held.Crashes.size(), Moments) >= Crashes;
+}
+
 std::vector<PromptPart>
 PartQuarantine::observeCrash(Instant Now, Instant When, TargetRun Ended,
-                             std::span<const PromptPart> Parts) {
+                             std::span<const PromptPart> Parts,
+                             CrashEvidence Evidence) {
   std::vector<PromptPart> Result;
   for (const auto Part : Parts) {
-    auto &Evidence = Suspicions[Part];
-    add(Evidence, When, Ended);
-    Evidence.LastCrash = Now;
-    if (std::min(Evidence.Crashes.size(), Evidence.Moments.size()) <
-            RefusedCrashes ||
-        Now < Evidence.Deadline) {
+    auto &Held = Suspicions[Part];
+    add(Held, When, Ended, Evidence);
+    Held.LastCrash = Now;
+    if (!reaches(Held, RefusedCrashes, RefusedLosses) || Now < Held.Deadline) {
       continue;
     }
     const auto Refusal =
         (answeredBefore(Part) ? MinRefusalOfKnownPart : MinRefusal) *
-        (1 << std::min(Evidence.Relapses, internal::MaxRefusalDoublings));
-    ++Evidence.Relapses;
-    Evidence.Deadline = Now + std::min(Refusal, MaxRefusal);
+        (1 << std::min(Held.Relapses, internal::MaxRefusalDoublings));
+    ++Held.Relapses;
+    Held.Deadline = Now + std::min(Refusal, MaxRefusal);
     Result.push_back(Part);
   }
   return Result;
--- a/src/goldcrestnotch/quarantine/part_quarantine.hpp
+++ b/src/goldcrestnotch/quarantine/part_quarantine.hpp
@@ -28,8 +28,14 @@
   Instant Deadline{}; ///< Until when its requests are refused.
 };
 
-/// @brief The parts of prompts under which responses broke off at their
-/// beginning, by what all VMs have seen. Does no I/O and reads no clock.
+/// @brief What a crash says about a prompt that its target was at work on.
+enum class CrashEvidence : std::uint8_t {
+  Begun,   ///< Its response had begun and was not known to be sound.
+  Waiting, ///< Its response had not begun, like those of all that waited there.
+};
+
+/// @brief The parts of prompts whose targets ended before they were answered,
+/// by what all VMs have seen. Does no I/O and reads no clock.
 ///
 /// A part that crashes its targets crashes each one, so a single sound answer
 /// clears all parts of its prompt. Parts that always occur together can't be
@@ -41,6 +47,9 @@
   /// aren't repeated, and before they are refused.
   static constexpr std::size_t SuspectCrashes = 2;
   static constexpr std::size_t RefusedCrashes = 3;
+  /// The same if responses had not begun under all of them.
+  static constexpr std::size_t SuspectLosses = 3;
+  static constexpr std::size_t RefusedLosses = 5;
   /// Time for which requests with a part are refused; it doubles with each
   /// relapse, up to a maximum. Each trial afterwards may cost a target and all
   /// of its streams.
@@ -67,12 +76,13 @@
   /// @brief The quarantined parts, for VMs that start later.
   [[nodiscard]] std::vector<QuarantinedPart> quarantined(Instant Now) const;
 
-  /// @brief Records that a response broke off at its beginning.
-  /// @param When It broke off then; reports of other VMs may arrive late.
+  /// @brief Records that a target ended before it had answered a prompt.
+  /// @param When It ended then; reports of other VMs may arrive late.
   /// @return The parts that are quarantined because of it.
-  std::vector<PromptPart> observeCrash(Instant Now, Instant When,
-                                       TargetRun Ended,
-                                       std::span<const PromptPart> Parts);
+  std::vector<PromptPart>
+  observeCrash(Instant Now, Instant When, TargetRun Ended,
+               std::span<const PromptPart> Parts,
+               CrashEvidence Evidence = CrashEvidence::Begun);
   /// @brief Records that a target has answered a prompt and is still running.
   /// @return The parts that were under suspicion and are cleared.
   std::vector<PromptPart> observeAnswer(Instant Now,
@@ -87,6 +97,8 @@
   /// @brief What is held against a part.
   struct Suspicion {
     std::set<TargetRun> Crashes; ///< At most `MaxCrashesKept`.
+    /// Those of them under which a response had begun.
+    std::set<TargetRun> BegunCrashes;
     /// Times of crashes that are not correlated; at most `MaxCrashesKept`.
     std::vector<Instant> Moments;
     Instant LastCrash{};
@@ -105,7 +117,11 @@
   /// @brief Whether prompts with a part have been answered lately.
   [[nodiscard]] bool answeredBefore(PromptPart Part) const;
   /// @brief Adds a crash to what is held against a part.
-  static void add(Suspicion &Evidence, Instant When, TargetRun Ended);
+  static void add(Suspicion &Held, Instant When, TargetRun Ended,
+                  CrashEvidence Evidence);
+  /// @brief Whether what is held against a part reaches a number of crashes.
+  [[nodiscard]] static bool
+  reaches(const Suspicion &Held, std::size_t BegunCrashes, std::size_t Crashes);
   [[nodiscard]] bool refuses(Instant Now, PromptPart Part,
                              std::span<const PromptPart> Parts) const;
   /// @brief Whether a part that the request doesn't contain accounts for all
--- a/standin/users_replica.cpp
+++ b/standin/users_replica.cpp
@@ -196,9 +196,19 @@
   }
 }
 
-void UsersReplica::crash(Exchange &HttpExchange, const Response &Head) {
-  HttpExchange.start(Head);
-  sleep(HttpExchange, Millis{10});
+void UsersReplica::crash(Exchange &HttpExchange, Response Head) {
+  Head.Fields["Content-Type"] = "text/event-stream";
+  const auto Form = FormOfCrash;
+  if (Form != CrashForm::EndBeforeHead && Form != CrashForm::SilentBeforeHead) {
+    HttpExchange.start(Head);
+  }
+  if (Form == CrashForm::InsideEvent) {
+    HttpExchange.write(event(1).substr(0, 4));
+  }
+  if (Form == CrashForm::AfterEvent || Form == CrashForm::SilentAfterEvent) {
+    HttpExchange.write(event(1));
+  }
+  sleep(HttpExchange, Form == CrashForm::LateEnd ? Millis{1'000} : Millis{10});
   ++BornMs;
   if (OnCrash) {
     OnCrash(*this);
--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -91,9 +91,23 @@
   /// Seconds for which the replica asks for no requests; while it is not zero,
   /// all requests are refused with 503.
   std::atomic<double> RetryAfterS{0};
+  /// @brief What callers see of a crash.
+  enum class CrashForm : std::uint8_t {
+    EndBeforeHead, ///< The connection ends without a response.
+    EndAfterHead,
+    LateEnd,     ///< It ends a second after the head.
+    InsideEvent, ///< It ends in the middle of the first event.
+    AfterEvent,  ///< It ends behind the first event.
+    SilentBeforeHead,
+    SilentAfterHead, ///< The connection stays open without a further byte.
+    SilentAfterEvent,
+  };
+
   /// A prompt with this part crashes the replica when it begins to answer; must
   /// be set before requests are sent.
   std::string CrashingPart;
+  /// Must be set before requests are sent.
+  CrashForm FormOfCrash = CrashForm::EndAfterHead;
   /// Called after a crash, which gives the replica a new start time.
   std::function<void(UsersReplica &)> OnCrash;
   std::atomic<int> Events{5};
@@ -110,7 +124,7 @@
   [[nodiscard]] bool respondFaulty(goldcrestnotch::http::Exchange &HttpExchange,
                                    goldcrestnotch::http::Response &Reply);
   [[noreturn]] void crash(goldcrestnotch::http::Exchange &HttpExchange,
-                          const goldcrestnotch::http::Response &Head);
+                          goldcrestnotch::http::Response Head);
   void stream(goldcrestnotch::http::Exchange &HttpExchange,
               goldcrestnotch::http::Response Head);
 
--- a/test/goldcrestnotch/notices/message_test.cpp
+++ b/test/goldcrestnotch/notices/message_test.cpp
@@ -46,6 +46,16 @@
   EXPECT_EQ(Notice.Parts, (std::vector<quarantine::PromptPart>{{9}, {10}}));
 }
 
+TEST(NoticeMessage, CrashKeepsItsEvidence) {
+  for (const auto Evidence :
+       {quarantine::CrashEvidence::Begun, quarantine::CrashEvidence::Waiting}) {
+    const auto Result =
+        decoded(encode(CrashNotice{{7, 8}, {{9}}, Millis{11}, Evidence}));
+    ASSERT_TRUE(Result && std::holds_alternative<CrashNotice>(*Result));
+    EXPECT_EQ(std::get<CrashNotice>(*Result).Evidence, Evidence);
+  }
+}
+
 TEST(NoticeMessage, ClearanceKeepsItsParts) {
   const auto Result = decoded(encode(ClearanceNotice{{{9}}}));
   ASSERT_TRUE(Result && std::holds_alternative<ClearanceNotice>(*Result));
--- a/test/goldcrestnotch/quarantine/part_quarantine_test.cpp
+++ b/test/goldcrestnotch/quarantine/part_quarantine_test.cpp
@@ -18,11 +18,12 @@
 
 /// @brief Records crashes of different targets at different times.
 void crash(PartQuarantine &Quarantine, std::size_t Count,
-           const std::vector<PromptPart> &Parts, std::uint64_t First = 100) {
+           const std::vector<PromptPart> &Parts, std::uint64_t First = 100,
+           CrashEvidence Evidence = CrashEvidence::Begun) {
   for (std::size_t I = 0; I < Count; ++I) {
     const auto When = Start + PartQuarantine::CorrelationTime *
                                   static_cast<std::int64_t>(First + I);
-    (void)Quarantine.observeCrash(Start, When, {First + I, 1}, Parts);
+    (void)Quarantine.observeCrash(Start, When, {First + I, 1}, Parts, Evidence);
   }
 }
 
@@ -36,6 +37,22 @@
   EXPECT_EQ(Quarantine.judge(Start, CrashingPrompt), Verdict::Refused);
 }
 
+TEST(PartQuarantine, FiveTargetsThatEndBeforeTheyRespondQuarantineAPart) {
+  PartQuarantine Quarantine;
+  crash(Quarantine, 4, CrashingPrompt, 100, CrashEvidence::Waiting);
+  EXPECT_EQ(Quarantine.judge(Start, CrashingPrompt), Verdict::Suspect);
+  crash(Quarantine, 1, CrashingPrompt, 104, CrashEvidence::Waiting);
+  EXPECT_EQ(Quarantine.judge(Start, CrashingPrompt), Verdict::Refused);
+}
+
+TEST(PartQuarantine, PromptThatWaitedAtCrashedTargetsIsClearedByAnAnswer) {
+  PartQuarantine Quarantine;
+  crash(Quarantine, 4, SoundPrompt, 100, CrashEvidence::Waiting);
+  (void)Quarantine.observeAnswer(Start, SoundPrompt);
+  crash(Quarantine, 4, SoundPrompt, 200, CrashEvidence::Waiting);
+  EXPECT_NE(Quarantine.judge(Start, SoundPrompt), Verdict::Refused);
+}
+
 TEST(PartQuarantine, OneTargetThatBreaksOffOftenIsNoEvidence) {
   PartQuarantine Quarantine;
   for (int I = 0; I < 10; ++I) {
--- a/test/model/quarantine_fleet_test.cpp
+++ b/test/model/quarantine_fleet_test.cpp
@@ -23,6 +23,10 @@
 constexpr int MaxNoticeDelayMs = 20;
 constexpr Millis RepeatDelays[] = {Millis{0}, Millis{250}, Millis{500}};
 constexpr double LostNotices = 0.1;
+/// Time until a target that has crashed is back.
+constexpr Millis DownTime{2'500};
+/// Sound prompts that wait at a target when it crashes.
+constexpr std::uint64_t PromptsThatWait = 4;
 /// Time after the fifth crash in which all VMs must know the part.
 constexpr Millis ReactionTime{3'000};
 constexpr std::size_t CrashesUntilKnown = 5;
@@ -60,10 +64,11 @@
   }
   /// @brief Crashes targets, one after the other, while they begin to answer
   /// sound prompts.
-  void crashTargets(std::size_t Count, Millis Interval) {
+  void crashTargets(std::size_t Count, Millis Interval,
+                    CrashEvidence Evidence = CrashEvidence::Begun) {
     for (std::size_t I = 0; I < Count; ++I) {
-      schedule(Interval * static_cast<std::int64_t>(I), [this, I] {
-        reportCrash(drawVm(), {{1}, {2}, {100 + I}});
+      schedule(Interval * static_cast<std::int64_t>(I), [this, I, Evidence] {
+        reportCrash(drawVm(), {{1}, {2}, {100 + I}}, Evidence);
       });
     }
   }
@@ -104,12 +109,29 @@
       }
     }
   }
-  void reportCrash(std::size_t Vm, const Parts &Prompt) {
+  void reportCrash(std::size_t Vm, const Parts &Prompt,
+                   CrashEvidence Evidence = CrashEvidence::Begun) {
+    report(Vm, {++LastTarget, 1}, Now, Prompt, Evidence);
+  }
+  void report(std::size_t Vm, TargetRun Ended, Instant When,
+              const Parts &Prompt, CrashEvidence Evidence) {
+    (void)Vms[Vm].observeCrash(Now, When, Ended, Prompt, Evidence);
+    // Notices state their age.
+    broadcast(Vm, [=, this](PartQuarantine &Quarantine) {
+      (void)Quarantine.observeCrash(Now, When, Ended, Prompt, Evidence);
+    });
+  }
+  /// @brief Reports the crashing prompt, and sound ones that waited at the same
+  /// target, once the target is back.
+  void reportSilentCrash(std::size_t Vm) {
     const TargetRun Ended{++LastTarget, 1};
-    (void)Vms[Vm].observeCrash(Now, Now, Ended, Prompt);
-    const auto When = Now; // Notices state their age.
-    broadcast(Vm, [this, When, Ended, Prompt](PartQuarantine &Quarantine) {
-      (void)Quarantine.observeCrash(Now, When, Ended, Prompt);
+    const auto When = Now;
+    schedule(DownTime, [this, Vm, Ended, When] {
+      report(Vm, Ended, When, CrashingPrompt, CrashEvidence::Waiting);
+      for (std::uint64_t I = 0; I < PromptsThatWait; ++I) {
+        report(drawVm(), Ended, When, {{1}, {2}, {100 + (LastTarget + I) % 50}},
+               CrashEvidence::Waiting);
+      }
     });
   }
   void sendSound() {
@@ -139,6 +161,10 @@
     }
     schedule(TimeToAnswer, [this, Vm, AttemptsLeft] {
       Crashes.push_back(Now);
+      if (SilentCrashes) {
+        reportSilentCrash(Vm);
+        return; // The caller waits for the response until it leaves.
+      }
       reportCrash(Vm, CrashingPrompt);
       if (AttemptsLeft > 1 &&
           Vms[Vm].judge(Now, CrashingPrompt) == Verdict::Sound) {
@@ -147,6 +173,11 @@
     });
   }
 
+public:
+  /// Targets crash without a response, and their connections stay open.
+  bool SilentCrashes = false;
+
+private:
   std::vector<PartQuarantine> Vms;
   std::multimap<Instant, std::function<void()>> Events;
   std::mt19937_64 Random{11};
@@ -166,6 +197,22 @@
   EXPECT_GE(Fleet.soundShare(), 0.99);
 }
 
+TEST_P(QuarantineFleet, FewTargetsCrashSilentlyAndSoundPromptsAreServed) {
+  FleetModel Fleet{GetParam()};
+  Fleet.SilentCrashes = true;
+  Fleet.run(Millis{60'000});
+  EXPECT_LE(Fleet.lateCrashes(), MaxCrashesAfter);
+  EXPECT_GE(Fleet.soundShare(), 0.99);
+}
+
+TEST_P(QuarantineFleet, PromptsThatWaitAtCrashedTargetsAreServed) {
+  FleetModel Fleet{GetParam()};
+  Fleet.run(Millis{10'000});
+  Fleet.crashTargets(60, Millis{120}, CrashEvidence::Waiting);
+  Fleet.run(Millis{20'000});
+  EXPECT_GE(Fleet.soundShare(), 0.99);
+}
+
 TEST_P(QuarantineFleet, RestartedVmsKnowThePart) {
   FleetModel Fleet{GetParam()};
   Fleet.run(Millis{10'000});
--- a/test/platform/crashing_prompt_test.cpp
+++ b/test/platform/crashing_prompt_test.cpp
@@ -5,7 +5,11 @@
 #include "fleet.hpp"
 
 #include <atomic>
+#include <future>
 #include <mutex>
+#include <ostream>
+
+#include <boost/asio/steady_timer.hpp>
 
 #include <gtest/gtest.h>
 
@@ -79,7 +83,7 @@
   Fleet TestFleet{ReplicaCount, VmCount};
   std::mutex Mutex;
   std::vector<Instant> Crashes; ///< Guarded by `Mutex`.
-  int Number = 0;
+  std::atomic<int> Number = 0;
 };
 
 TEST_F(PlatformCrashingPrompt, NoMoreTargetsCrashOnceThePartIsKnown) {
@@ -97,5 +101,146 @@
   EXPECT_GE(Served, 0.9);
 }
 
+/// @brief What callers see of a crash.
+struct CrashCase {
+  const char *Name;
+  UsersReplica::CrashForm Form;
+  bool Silent; ///< Open connections stay open until the replica is back.
+};
+
+void PrintTo(const CrashCase &Case, std::ostream *Output) {
+  *Output << Case.Name;
+}
+
+using Form = UsersReplica::CrashForm;
+const CrashCase CrashCases[] = {
+    {"EndBeforeHead", Form::EndBeforeHead, false},
+    {"EndAfterHead", Form::EndAfterHead, false},
+    {"LateEnd", Form::LateEnd, false},
+    {"InsideEvent", Form::InsideEvent, false},
+    {"AfterEvent", Form::AfterEvent, false},
+    {"SilentBeforeHead", Form::SilentBeforeHead, true},
+    {"SilentAfterHead", Form::SilentAfterHead, true},
+    {"SilentAfterEvent", Form::SilentAfterEvent, true}};
+
+/// @brief Replicas that are down for a while after a crash.
+class PlatformCrashForm : public PlatformCrashingPrompt,
+                          public testing::WithParamInterface<CrashCase> {
+protected:
+  void SetUp() override {
+    PlatformCrashingPrompt::SetUp();
+    for (int I = 0; I < ReplicaCount; ++I) {
+      TestFleet.replica(I).FormOfCrash = GetParam().Form;
+      TestFleet.replica(I).OnCrash = [this, I](UsersReplica & /*Crashed*/) {
+        {
+          const std::lock_guard Lock{Mutex};
+          Crashes.push_back(DecisionClock::now());
+        }
+        auto &Link = TestFleet.replicaLink(I);
+        Link.CurrentMode = GetParam().Silent
+                               ? standin::FaultyLink::Mode::Stalled
+                               : standin::FaultyLink::Mode::Refuse;
+        if (!GetParam().Silent) {
+          Link.reset();
+        }
+        boost::asio::spawn(
+            TestFleet.Context, [this, I](boost::asio::yield_context Yield) {
+              boost::asio::steady_timer Down{TestFleet.Context, DownTime};
+              Down.async_wait(Yield);
+              restart(I);
+            });
+      };
+    }
+  }
+  void restart(int Number) {
+    auto &Link = TestFleet.replicaLink(Number);
+    Link.reset();
+    Link.CurrentMode = standin::FaultyLink::Mode::Pass;
+    TestFleet.registerReplica(TestFleet.replica(Number), "ready");
+  }
+  /// @brief Sends crashing chats at an interval, and sound ones between them.
+  /// @return The share of sound chats that was served in the last part.
+  double playChats() {
+    std::vector<std::future<CallResult>> Crashing;
+    std::vector<std::future<CallResult>> Sound;
+    for (int I = 0; I < CrashingChats; ++I) {
+      Crashing.push_back(chatLater(CrashingPart, I % VmCount));
+      for (int J = 0; J < SoundPerCrashing; ++J) {
+        Sound.push_back(chatLater(SoundPart, (I + J) % VmCount));
+        std::this_thread::sleep_for(CrashingInterval / SoundPerCrashing);
+      }
+    }
+    for (auto &Chat : Crashing) {
+      Chat.wait();
+    }
+    double Served = 0;
+    const auto LastPart = Sound.size() / 3;
+    for (std::size_t I = 0; I < Sound.size(); ++I) {
+      const auto Answer = Sound[I].get();
+      Served += I >= Sound.size() - LastPart && Answer.Status == 200 ? 1 : 0;
+    }
+    return Served / static_cast<double>(LastPart);
+  }
+
+private:
+  static constexpr int CrashingChats = 24;
+  static constexpr int SoundPerCrashing = 5;
+  static constexpr Millis CrashingInterval{500};
+  static constexpr Millis DownTime{2'000};
+
+  [[nodiscard]] std::future<CallResult> chatLater(const char *Part, int Vm) {
+    const auto Id = std::to_string(++Number);
+    Call Chat{"/chat/1", "key-1", "f" + Id, "100,60", "3000"};
+    Chat.PromptParts = std::string{SharedPart} + "," + Part + ",d" + Id + ":20";
+    return std::async(std::launch::async,
+                      [this, Chat, Vm] { return TestFleet.call(Chat, Vm); });
+  }
+};
+
+// Only the end of a connection right after the head counted as a crash.
+TEST_P(PlatformCrashForm, FewTargetsCrashAndSoundChatsAreServed) {
+  const auto Served = playChats();
+  EXPECT_LE(lateCrashes(), MaxCrashesAfter);
+  EXPECT_GE(Served, 0.9);
+}
+
+INSTANTIATE_TEST_SUITE_P(Forms, PlatformCrashForm,
+                         testing::ValuesIn(CrashCases),
+                         [](const auto &Info) { return Info.param.Name; });
+
+// A target that ends under sound prompts is no evidence against them.
+TEST_F(PlatformCrashingPrompt, TargetsThatRestartInTurnQuarantineNothing) {
+  constexpr int Restarts = 10;
+  constexpr Millis Interval{600};
+  for (int I = 0; I < ReplicaCount; ++I) {
+    TestFleet.replica(I).EventDelayMs = 60;
+  }
+  std::vector<std::future<CallResult>> Chats;
+  for (int I = 0; I < Restarts; ++I) {
+    const int Restarting = I % ReplicaCount;
+    auto &Link = TestFleet.replicaLink(Restarting);
+    Link.CurrentMode = standin::FaultyLink::Mode::Stalled;
+    for (int J = 0; J < ReplicaCount; ++J) {
+      Chats.push_back(std::async(std::launch::async, [this, I, J] {
+        return chat(("f" + std::to_string(J) + ":30").c_str(),
+                    (I + J) % VmCount);
+      }));
+    }
+    std::this_thread::sleep_for(Interval);
+    Link.reset();
+    Link.CurrentMode = standin::FaultyLink::Mode::Pass;
+    TestFleet.replica(Restarting).restart();
+    TestFleet.registerReplica(TestFleet.replica(Restarting), "ready");
+  }
+  for (auto &Chat : Chats) {
+    Chat.wait();
+  }
+  for (int Vm = 0; Vm < VmCount; ++Vm) {
+    EXPECT_EQ(TestFleet.daemon(Vm).output().find("prompt.quarantined"),
+              std::string::npos)
+        << TestFleet.daemon(Vm).output();
+  }
+}
+
 } // namespace
 } // namespace platform_test
