BUDGET: another target at a target's address is a sign that it has ended

A target that comes back after a crash has a new id as a rule. Its old entry lapses without a word, so the prompts that it had not answered stayed unexplained unless a VM found its port closed.

--- a/src/goldcrestnotch/backend/target_set.cpp
+++ b/src/goldcrestnotch/backend/target_set.cpp
@@ -190,19 +190,27 @@
              : Best;
 }
 
+std::shared_ptr<Target>
+TargetSet::predecessor(const Registration &Update) const {
+  const auto LastName = NamesByEndpoint.find(Update.Endpoint);
+  if (LastName == NamesByEndpoint.end() || LastName->second == Update.Name) {
+    return nullptr;
+  }
+  const auto Last = find(LastName->second);
+  return Last && Last->Registered.Endpoint == Update.Endpoint ? Last : nullptr;
+}
+
 void TargetSet::removePredecessor(const Registration &Update) {
-  auto &LastName = NamesByEndpoint[Update.Endpoint];
-  const auto Last = find(LastName);
-  if (Last && LastName != Update.Name &&
-      Last->Registered.Endpoint == Update.Endpoint) {
+  if (const auto Last = predecessor(Update)) {
     if (Last->Registered.Incarnation > Update.Incarnation) {
       return; // The update is a late record of a target that has ended.
     }
+    const auto LastName = Last->Registered.Name;
     std::erase(TargetsByService[Last->Registered.Service], Last);
     NamesByHash.erase(hashOf(LastName.str()));
     Targets.erase(LastName);
   }
-  LastName = Update.Name;
+  NamesByEndpoint[Update.Endpoint] = Update.Name;
 }
 
 bool TargetSet::outdated(const Registration &Update) const {
--- a/src/goldcrestnotch/backend/target_set.hpp
+++ b/src/goldcrestnotch/backend/target_set.hpp
@@ -99,6 +99,11 @@
   [[nodiscard]] std::optional<Instant>
   firstReturn(Instant Now, const ServiceId &Service) const;
 
+  /// @brief The other target that was last registered at the address of a
+  /// registration. It has ended unless its incarnation is newer.
+  /// @return Null if there is none.
+  [[nodiscard]] std::shared_ptr<Target>
+  predecessor(const Registration &Update) const;
   /// @brief Inserts or updates a registration. Another target that was last
   /// registered at the same address with no newer incarnation has ended, and is
   /// removed at once. An entry that is older than the known one of the same run
--- a/src/goldcrestnotch/notices/shared_quarantine.cpp
+++ b/src/goldcrestnotch/notices/shared_quarantine.cpp
@@ -24,6 +24,20 @@
   return Result;
 }
 
+[[nodiscard]] static const char *toText(EndSign Sign) {
+  switch (Sign) {
+  case EndSign::RefusesConnections:
+    return "refuses_connections";
+  case EndSign::Replaced:
+    return "replaced";
+  case EndSign::NewRun:
+    return "new_run";
+  case EndSign::Unreachable:
+    return "unreachable";
+  }
+  return "";
+}
+
 [[nodiscard]] static quarantine::TargetRun
 runOf(const backend::Registration &Target) {
   return {hashOf(Target.Name.str()), Target.Incarnation};
@@ -52,19 +66,20 @@
 
 void SharedQuarantine::reportEnd(Instant Now,
                                  const backend::Registration &Target,
-                                 bool OnlyBegun) {
-  report(Now, Open.endRun(internal::runOf(Target), OnlyBegun),
-         OnlyBegun ? "unreachable" : "refuses_connections");
+                                 EndSign Sign) {
+  report(Now,
+         Open.endRun(internal::runOf(Target), Sign == EndSign::Unreachable),
+         Sign);
 }
 
 void SharedQuarantine::observeRun(Instant Now,
                                   const backend::Registration &Target) {
-  report(Now, Open.startRun(internal::runOf(Target)), "new_run");
+  report(Now, Open.startRun(internal::runOf(Target)), EndSign::NewRun);
 }
 
 void SharedQuarantine::report(
     Instant Now, const std::vector<quarantine::UnansweredPrompt> &Prompts,
-    const char *Sign) {
+    EndSign Sign) {
   for (const auto &Prompt : Prompts) {
     if (Prompt.Parts.empty()) {
       continue;
@@ -76,7 +91,7 @@
         {{"run", static_cast<std::int64_t>(Prompt.Run.Incarnation)},
          {"parts", internal::toText(Prompt.Parts)},
          {"begun", Prompt.Begun},
-         {"sign", std::string{Sign}}});
+         {"sign", std::string{internal::toText(Sign)}}});
     observeCrash(Now, Notice, "target");
     Socket.broadcast(Notice);
   }
--- a/src/goldcrestnotch/notices/shared_quarantine.hpp
+++ b/src/goldcrestnotch/notices/shared_quarantine.hpp
@@ -17,6 +17,15 @@
 
 namespace goldcrestnotch::notices {
 
+/// @brief How this VM knows that a target has ended.
+enum class EndSign : std::uint8_t {
+  RefusesConnections, ///< Nothing listens at its address.
+  Replaced,           ///< Another target is at its address.
+  NewRun,             ///< It has registered a new run.
+  Unreachable,        ///< It is silent, and new connections hang. A cut may be
+                      ///< the cause, so only responses that had begun count.
+};
+
 /// @brief This VM's copy of the quarantine.
 class SharedQuarantine {
 public:
@@ -47,12 +56,10 @@
   /// was known to be sound, and tells the other VMs.
   void reportCrash(Instant Now, const backend::Registration &Target,
                    const Parts &Shared);
-  /// @brief Records that a target refuses connections, or that its open
-  /// connections are silent and new ones hang: the prompts that it has not
+  /// @brief Records that a target has ended: the prompts that it has not
   /// answered may have crashed it.
-  /// @param OnlyBegun Counts only the prompts whose responses had begun.
   void reportEnd(Instant Now, const backend::Registration &Target,
-                 bool OnlyBegun);
+                 EndSign Sign);
   /// @brief Records that a target has registered a run: its earlier runs have
   /// ended.
   void observeRun(Instant Now, const backend::Registration &Target);
@@ -70,7 +77,7 @@
   void observeCrash(Instant Now, const CrashNotice &Notice, const char *Source);
   void report(Instant Now,
               const std::vector<quarantine::UnansweredPrompt> &Prompts,
-              const char *Sign);
+              EndSign Sign);
 
   NoticeSocket &Socket;
   Metrics &Counters;
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -362,7 +362,7 @@
       Cause = Failure.code();
       if (Cause == ConnectionPool::RefusedConnection) {
         Context.Quarantine.reportEnd(DecisionClock::now(), Target->Registered,
-                                     false);
+                                     notices::EndSign::RefusesConnections);
       }
       return AttemptResult::Unreachable;
     }
@@ -702,6 +702,10 @@
   // itself ends attempts when it stops.
   if (!Lost || Remote.malformed() || Context.Ending) {
     Context.Quarantine.openAnswers().close(*Key);
+    if (Result == AttemptResult::WrongTarget) {
+      Context.Quarantine.reportEnd(Now, Remote.target().Registered,
+                                   notices::EndSign::Replaced);
+    }
     return;
   }
   if (Remote.brokenOff() && Remote.headReceived()) {
--- a/src/goldcrestnotch/proxy/target_probe.cpp
+++ b/src/goldcrestnotch/proxy/target_probe.cpp
@@ -52,10 +52,11 @@
                            Yield[Failure]);
   const auto Now = DecisionClock::now();
   if (Failure == asio::error::connection_refused) {
-    Context.Quarantine.reportEnd(Now, Target, false);
+    Context.Quarantine.reportEnd(Now, Target,
+                                 notices::EndSign::RefusesConnections);
   } else if (Failure == boost::beast::error::timeout &&
              Now - Deadline <= internal::MaxProbeLoopDelay) {
-    Context.Quarantine.reportEnd(Now, Target, true);
+    Context.Quarantine.reportEnd(Now, Target, notices::EndSign::Unreachable);
   }
 }
 
--- a/test/goldcrestnotch/backend/target_set_test.cpp
+++ b/test/goldcrestnotch/backend/target_set_test.cpp
@@ -119,6 +119,16 @@
 // Guards against requests for a target that has ended: a target that had
 // restarted under another name got requests for its predecessor at the same
 // address and refused them.
+TEST_F(TargetSetTest, PredecessorIsTheOtherTargetAtTheAddress) {
+  auto Next = registration("d");
+  EXPECT_EQ(Targets.predecessor(Next), nullptr);
+  Next.Endpoint = registration("a").Endpoint;
+  ASSERT_NE(Targets.predecessor(Next), nullptr);
+  EXPECT_EQ(Targets.predecessor(Next)->Registered.Name, TargetId{"a"});
+  Targets.apply(Next);
+  EXPECT_EQ(Targets.predecessor(Next), nullptr);
+}
+
 TEST_F(TargetSetTest, TargetAtTheSameAddressReplacesItsPredecessor) {
   auto Successor = registration("d");
   Successor.Endpoint = registration("a").Endpoint;
