--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -344,28 +344,36 @@
   return Target;
 }
 
+std::shared_ptr<TargetConnection>
+Exchange::connect(Instant Now, const backend::Registration &Target) {
+  if (auto Idle = Context.Connections.acquire(Now, Target)) {
+    return Idle;
+  }
+  try {
+    auto Opened = Context.Connections.connect(
+        Yield, Target, std::min(Deadline, Now + internal::ConnectTimeout));
+    Context.Measured.count("target_connections_total");
+    return Opened;
+  } catch (const Error &Failure) {
+    ++State.Unreachable;
+    Cause = Failure.code();
+    if (Cause == ConnectionPool::RefusedConnection) {
+      Context.Quarantine.reportEnd(DecisionClock::now(), Target,
+                                   notices::EndSign::RefusesConnections);
+    }
+    return nullptr;
+  }
+}
+
 AttemptResult
 Exchange::attempt(const std::shared_ptr<backend::Target> &Target) {
   const auto Now = DecisionClock::now();
   if (Now >= Deadline || Context.Ending) {
     return AttemptResult::DeadlineExceeded;
   }
-  auto Connection = Context.Connections.acquire(Now, Target->Registered);
+  const auto Connection = connect(Now, Target->Registered);
   if (!Connection) {
-    try {
-      Connection = Context.Connections.connect(
-          Yield, Target->Registered,
-          std::min(Deadline, Now + internal::ConnectTimeout));
-      Context.Measured.count("target_connections_total");
-    } catch (const Error &Failure) {
-      ++State.Unreachable;
-      Cause = Failure.code();
-      if (Cause == ConnectionPool::RefusedConnection) {
-        Context.Quarantine.reportEnd(DecisionClock::now(), Target->Registered,
-                                     notices::EndSign::RefusesConnections);
-      }
-      return AttemptResult::Unreachable;
-    }
+    return AttemptResult::Unreachable;
   }
   // The caller may have left during the wait for tokens or a connection.
   if (Caller.checkGone()) {
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -44,6 +44,10 @@
   [[nodiscard]] bool reserve();
   /// @brief Sends the request to targets until an attempt settles it.
   void forward();
+  /// @brief Takes an idle connection to a target or opens one.
+  /// @return Null if the target can't be reached; `Cause` says why.
+  [[nodiscard]] std::shared_ptr<TargetConnection>
+  connect(Instant Now, const backend::Registration &Target);
   /// @brief Sends the request to a target and forwards the response.
   [[nodiscard]] AttemptResult
   attempt(const std::shared_ptr<backend::Target> &Target);
--- a/test/platform/crashing_prompt_test.cpp
+++ b/test/platform/crashing_prompt_test.cpp
@@ -108,8 +108,8 @@
   bool Silent; ///< Open connections stay open until the replica is back.
 };
 
-void PrintTo(const CrashCase &Case, std::ostream *Output) {
-  *Output << Case.Name;
+std::ostream &operator<<(std::ostream &Output, const CrashCase &Case) {
+  return Output << Case.Name;
 }
 
 using Form = UsersReplica::CrashForm;
--- a/test/platform/planned_stop_test.cpp
+++ b/test/platform/planned_stop_test.cpp
@@ -41,8 +41,8 @@
   std::string Rest;
 };
 
-void PrintTo(const SplitRequest &Request, std::ostream *Output) {
-  *Output << Request.Name;
+std::ostream &operator<<(std::ostream &Output, const SplitRequest &Request) {
+  return Output << Request.Name;
 }
 
 const std::string ChunkedHead = orderHead("Transfer-Encoding: chunked");
--- a/test/platform/stop_run.cpp
+++ b/test/platform/stop_run.cpp
@@ -194,7 +194,7 @@
     boost::system::error_code Failure;
     wire::async_read(Connection, Buffer, Answer, Yield[Failure]);
     if (Answer.is_header_done()) {
-      Result.Status = Answer.get().result_int();
+      Result.Status = static_cast<int>(Answer.get().result_int());
       Result.Signature =
           std::string{Answer.get()["X-Goldcrestnotch-Replica-Signature"]};
     }
