--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -650,6 +650,10 @@
       boost::asio::read_until(Connection, boost::asio::dynamic_buffer(Request),
                               "\r\n\r\n", Ignored);
       const auto Begin = Request.find("X-Goldcrestnotch-Attempt-Id: ");
+      if (Begin == std::string::npos) {
+        accept(); // A probe opens a connection without a request.
+        return;
+      }
       const auto Id =
           Request.substr(Begin, Request.find("\r\n", Begin) - Begin);
       boost::asio::write(
