--- a/standin/users_replica.cpp
+++ b/standin/users_replica.cpp
@@ -17,6 +17,7 @@
 using goldcrestnotch::http::Endpoint;
 using goldcrestnotch::http::Exchange;
 using goldcrestnotch::http::Headers;
+using goldcrestnotch::http::Request;
 using goldcrestnotch::http::Response;
 
 namespace {
@@ -50,6 +51,11 @@
   Listener.start();
 }
 
+std::string UsersReplica::name() const {
+  const auto Count = Replacements.load();
+  return Count == 0 ? Name : Name + "-" + std::to_string(Count);
+}
+
 std::string UsersReplica::entry(const std::string &Service,
                                 const std::string &State) const {
   return json{{"service", Service},   {"address", Address.str()},
@@ -98,7 +104,7 @@
     const std::lock_guard Lock{Mutex};
     Arrivals.add(DecisionClock::now());
   }
-  if (Request.field("X-Goldcrestnotch-Expect-Replica") != Name) {
+  if (Request.field("X-Goldcrestnotch-Expect-Replica") != name()) {
     Reply.Status = 421;
     HttpExchange.reply(Reply);
     return;
@@ -127,9 +133,7 @@
     HttpExchange.reply(Reply);
     return;
   }
-  if (!CrashingPart.empty() &&
-      Request.field("X-Goldcrestnotch-Prompt-Prefix").find(CrashingPart) !=
-          std::string_view::npos) {
+  if (crashes(Request)) {
     crash(HttpExchange, Reply);
   }
   if (respondFaulty(HttpExchange, Reply)) {
@@ -196,6 +200,13 @@
   }
 }
 
+bool UsersReplica::crashes(const Request &Received) const {
+  return (!CrashingPath.empty() && Received.Path == CrashingPath) ||
+         (!CrashingPart.empty() &&
+          Received.field("X-Goldcrestnotch-Prompt-Prefix").find(CrashingPart) !=
+              std::string_view::npos);
+}
+
 void UsersReplica::crash(Exchange &HttpExchange, Response Head) {
   Head.Fields["Content-Type"] = "text/event-stream";
   const auto Form = FormOfCrash;
--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -53,7 +53,7 @@
 
   std::string Version = "v1"; ///< Must be set before the replica is registered.
 
-  [[nodiscard]] const std::string &name() const noexcept { return Name; }
+  [[nodiscard]] std::string name() const;
   /// @brief Returns the replica's registry record as JSON.
   [[nodiscard]] std::string entry(const std::string &Service,
                                   const std::string &State) const;
@@ -63,6 +63,12 @@
   void setAdvertisedPort(std::uint16_t Port) { Address.Port = Port; }
   /// @brief Gives the replica a new start time, as after a restart.
   void restart() { ++BornMs; }
+  /// @brief Gives the replica a new start time and a new id, as if another one
+  /// were started at its address.
+  void replace() {
+    ++BornMs;
+    ++Replacements;
+  }
   /// @brief Returns how often the request of an attempt was executed.
   [[nodiscard]] int runsOf(const std::string &AttemptId) const;
   /// @brief Returns the bytes of endless bodies written to callers so far.
@@ -106,6 +112,8 @@
   /// A prompt with this part crashes the replica when it begins to answer; must
   /// be set before requests are sent.
   std::string CrashingPart;
+  /// A request with this path crashes the replica in the same way.
+  std::string CrashingPath;
   /// Must be set before requests are sent.
   CrashForm FormOfCrash = CrashForm::EndAfterHead;
   /// Called after a crash, which gives the replica a new start time.
@@ -123,6 +131,8 @@
   /// @return Whether that was in its place.
   [[nodiscard]] bool respondFaulty(goldcrestnotch::http::Exchange &HttpExchange,
                                    goldcrestnotch::http::Response &Reply);
+  [[nodiscard]] bool
+  crashes(const goldcrestnotch::http::Request &Received) const;
   [[noreturn]] void crash(goldcrestnotch::http::Exchange &HttpExchange,
                           goldcrestnotch::http::Response Head);
   void stream(goldcrestnotch::http::Exchange &HttpExchange,
@@ -134,6 +144,7 @@
   std::atomic<std::uint64_t> EndlessBytes{0};
   std::atomic<std::uint64_t> Received{0};
   std::atomic<std::uint64_t> BornMs{1'700'000'000'000};
+  std::atomic<std::uint64_t> Replacements{0};
   mutable std::atomic<std::uint64_t> Entries{0}; ///< Registry records built.
   mutable std::mutex Mutex;
   goldcrestnotch::http::Headers LastHeaders; ///< Guarded by `Mutex`.
--- a/test/platform/crashing_prompt_test.cpp
+++ b/test/platform/crashing_prompt_test.cpp
@@ -2,44 +2,32 @@
 /// End-to-end tests of prompts that crash each target that begins to answer
 /// them.
 
-#include "fleet.hpp"
+#include "crashing_targets.hpp"
 
 #include <atomic>
 #include <future>
-#include <mutex>
 #include <ostream>
 
-#include <boost/asio/steady_timer.hpp>
-
-#include <gtest/gtest.h>
-
 namespace platform_test {
 namespace {
 
-constexpr int VmCount = 3;
 constexpr int ReplicaCount = 6;
 constexpr const char *SharedPart = "a0:50";
 constexpr const char *CrashingPart = "bad1:30";
 constexpr const char *SoundPart = "c0de:30";
-/// Time after the fifth crash in which the VMs must have learned of the part.
-constexpr Millis ReactionTime{3'000};
 constexpr std::size_t CrashesUntilKnown = 5;
 constexpr std::size_t MaxCrashesAfter = 3;
 
-class PlatformCrashingPrompt : public testing::Test {
+class PlatformCrashingPrompt : public CrashingTargets {
 protected:
+  PlatformCrashingPrompt() : CrashingTargets{ReplicaCount} {}
+
   void SetUp() override {
-    for (int Vm = 0; Vm < VmCount; ++Vm) {
-      ASSERT_TRUE(TestFleet.waitUntilReady(Vm));
-    }
-    std::this_thread::sleep_for(Millis{1'500}); // The VMs know each other.
+    CrashingTargets::SetUp();
     for (int I = 0; I < ReplicaCount; ++I) {
       TestFleet.replica(I).CrashingPart = CrashingPart;
       TestFleet.replica(I).OnCrash = [this, I](UsersReplica &Replica) {
-        {
-          const std::lock_guard Lock{Mutex};
-          Crashes.push_back(DecisionClock::now());
-        }
+        recordCrash();
         TestFleet.replicaLink(I).reset();
         TestFleet.registerReplica(Replica, "ready");
       };
@@ -68,27 +56,13 @@
     }
     return static_cast<double>(Served) / Sound;
   }
-  /// @brief Number of crashes later than the reaction time after the fifth one.
-  [[nodiscard]] std::size_t lateCrashes() {
-    const std::lock_guard Lock{Mutex};
-    if (Crashes.size() < CrashesUntilKnown) {
-      return 0;
-    }
-    const auto Known = Crashes[CrashesUntilKnown - 1] + ReactionTime;
-    return static_cast<std::size_t>(
-        std::count_if(Crashes.begin(), Crashes.end(),
-                      [&](Instant When) { return When > Known; }));
-  }
 
-  Fleet TestFleet{ReplicaCount, VmCount};
-  std::mutex Mutex;
-  std::vector<Instant> Crashes; ///< Guarded by `Mutex`.
   std::atomic<int> Number = 0;
 };
 
 TEST_F(PlatformCrashingPrompt, NoMoreTargetsCrashOnceThePartIsKnown) {
   const auto Served = sendChats(Millis{10'000});
-  EXPECT_LE(lateCrashes(), MaxCrashesAfter);
+  EXPECT_LE(lateCrashes(CrashesUntilKnown), MaxCrashesAfter);
   EXPECT_GE(Served, 0.9);
 }
 
@@ -97,7 +71,7 @@
   TestFleet.start(1);
   ASSERT_TRUE(TestFleet.waitUntilReady(1));
   const auto Served = sendChats(Millis{5'000});
-  EXPECT_LE(lateCrashes(), MaxCrashesAfter);
+  EXPECT_LE(lateCrashes(CrashesUntilKnown), MaxCrashesAfter);
   EXPECT_GE(Served, 0.9);
 }
 
@@ -132,32 +106,11 @@
     for (int I = 0; I < ReplicaCount; ++I) {
       TestFleet.replica(I).FormOfCrash = GetParam().Form;
       TestFleet.replica(I).OnCrash = [this, I](UsersReplica & /*Crashed*/) {
-        {
-          const std::lock_guard Lock{Mutex};
-          Crashes.push_back(DecisionClock::now());
-        }
-        auto &Link = TestFleet.replicaLink(I);
-        Link.CurrentMode = GetParam().Silent
-                               ? standin::FaultyLink::Mode::Stalled
-                               : standin::FaultyLink::Mode::Refuse;
-        if (!GetParam().Silent) {
-          Link.reset();
-        }
-        boost::asio::spawn(
-            TestFleet.Context, [this, I](boost::asio::yield_context Yield) {
-              boost::asio::steady_timer Down{TestFleet.Context, DownTime};
-              Down.async_wait(Yield);
-              restart(I);
-            });
+        recordCrash();
+        takeDown(I, GetParam().Silent, false);
       };
     }
   }
-  void restart(int Number) {
-    auto &Link = TestFleet.replicaLink(Number);
-    Link.reset();
-    Link.CurrentMode = standin::FaultyLink::Mode::Pass;
-    TestFleet.registerReplica(TestFleet.replica(Number), "ready");
-  }
   /// @brief Sends crashing chats at an interval, and sound ones between them.
   /// @return The share of sound chats that was served in the last part.
   double playChats() {
@@ -186,7 +139,6 @@
   static constexpr int CrashingChats = 24;
   static constexpr int SoundPerCrashing = 5;
   static constexpr Millis CrashingInterval{500};
-  static constexpr Millis DownTime{2'000};
 
   [[nodiscard]] std::future<CallResult> chatLater(const char *Part, int Vm) {
     const auto Id = std::to_string(++Number);
@@ -200,7 +152,7 @@
 // Only the end of a connection right after the head counted as a crash.
 TEST_P(PlatformCrashForm, FewTargetsCrashAndSoundChatsAreServed) {
   const auto Served = playChats();
-  EXPECT_LE(lateCrashes(), MaxCrashesAfter);
+  EXPECT_LE(lateCrashes(CrashesUntilKnown), MaxCrashesAfter);
   EXPECT_GE(Served, 0.9);
 }
 
