BUDGET: a request that crashes each target that runs it is quarantined as a whole

Cause: only parts of prompts were suspects, so a request without a prompt was held responsible for nothing. Its class: evidence is bound to one property of a request, where the end of a target speaks against all that it was at work on.

Now each request has a fingerprint (method, host, path, workspace, body) that is a suspect beside the parts of its prompt. Three ends under it are enough, begun or not: requests that wait at a target may share parts, but not fingerprints. A successful answer clears it; an error doesn't. The quarantine is judged once the caller is known. Notices and records of VMs keep their form. Types are renamed to say so (PromptPart to CrashSuspect, PartQuarantine to CrashQuarantine); request.end and the lines of the quarantine name fingerprints.

--- a/src/goldcrestnotch/notices/message.cpp
+++ b/src/goldcrestnotch/notices/message.cpp
@@ -52,13 +52,13 @@
           Source.Complete};
 }
 
-/// @brief The hashes of parts, as many as fit into a message.
+/// @brief The hashes of suspects, as many as fit into a message.
 [[nodiscard]] static json
-toJson(const std::vector<quarantine::PromptPart> &Parts) {
+toJson(const std::vector<quarantine::CrashSuspect> &Suspects) {
   json Result = json::array();
-  for (const auto &Part : Parts) {
-    if (Result.size() < MaxParts) {
-      Result.push_back(Part.Hash);
+  for (const auto &Suspected : Suspects) {
+    if (Result.size() < MaxSuspects) {
+      Result.push_back(Suspected.Hash);
     }
   }
   return Result;
@@ -68,13 +68,13 @@
   return {Kind::Crash,
           Source.Ended.NameHash,
           Source.Ended.Incarnation,
-          toJson(Source.Parts),
+          toJson(Source.Suspects),
           ageJson(Source.Age),
-          Source.Evidence == quarantine::CrashEvidence::Waiting};
+          Source.Evidence == quarantine::CrashEvidence::Weak};
 }
 
 [[nodiscard]] static json toJson(const ClearanceNotice &Source) {
-  return {Kind::Clearance, toJson(Source.Parts)};
+  return {Kind::Clearance, toJson(Source.Suspects)};
 }
 
 [[nodiscard]] static json toJson(const LeavingNotice &Source) {
@@ -110,22 +110,22 @@
   return Result;
 }
 
-[[nodiscard]] static std::vector<quarantine::PromptPart>
-partsOf(const json &Value) {
-  std::vector<quarantine::PromptPart> Result;
+[[nodiscard]] static std::vector<quarantine::CrashSuspect>
+suspectsOf(const json &Value) {
+  std::vector<quarantine::CrashSuspect> Result;
   for (const auto Hash : hashesOf(Value)) {
     Result.push_back({Hash});
   }
   return Result;
 }
 
-/// @brief What a crash notice says of its prompt. VMs of earlier versions
+/// @brief What a crash notice says of its suspects. VMs of earlier versions
 /// report only responses that had begun.
 [[nodiscard]] static quarantine::CrashEvidence evidenceOf(const json &Crash) {
-  constexpr std::size_t WaitingField = 5;
-  return Crash.size() > WaitingField && Crash.at(WaitingField).get<bool>()
-             ? quarantine::CrashEvidence::Waiting
-             : quarantine::CrashEvidence::Begun;
+  constexpr std::size_t WeakField = 5;
+  return Crash.size() > WeakField && Crash.at(WeakField).get<bool>()
+             ? quarantine::CrashEvidence::Weak
+             : quarantine::CrashEvidence::Strong;
 }
 
 } // namespace internal
@@ -154,11 +154,11 @@
     case internal::Kind::Crash:
       return CrashNotice{{internal::unsignedOf(Document.at(1)),
                           internal::unsignedOf(Document.at(2))},
-                         internal::partsOf(Document.at(3)),
+                         internal::suspectsOf(Document.at(3)),
                          internal::ageOf(Document.at(4)),
                          internal::evidenceOf(Document)};
     case internal::Kind::Clearance:
-      return ClearanceNotice{internal::partsOf(Document.at(1))};
+      return ClearanceNotice{internal::suspectsOf(Document.at(1))};
     case internal::Kind::Leaving:
       return LeavingNotice{{internal::unsignedOf(Document.at(1)),
                             internal::unsignedOf(Document.at(2))}};
--- a/src/goldcrestnotch/notices/message.hpp
+++ b/src/goldcrestnotch/notices/message.hpp
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "goldcrestnotch/core/instant.hpp"
-#include "goldcrestnotch/quarantine/part_quarantine.hpp"
+#include "goldcrestnotch/quarantine/crash_quarantine.hpp"
 #include "goldcrestnotch/store/log.hpp"
 
 namespace goldcrestnotch::notices {
@@ -21,8 +21,8 @@
 inline constexpr std::size_t MaxMessageBytes = 1'200;
 /// Maximum number of targets in one message.
 inline constexpr std::size_t MaxTargets = 64;
-/// Maximum number of prompt parts in one message.
-inline constexpr std::size_t MaxParts = 64;
+/// Maximum number of suspects in one message.
+inline constexpr std::size_t MaxSuspects = 64;
 
 /// @brief Asks another VM how current its copies of two partitions are.
 struct ViewRequest {
@@ -49,17 +49,17 @@
   bool Complete = true; ///< The lists above contain all such targets.
 };
 
-/// @brief Says that a target ended before it had answered a prompt.
+/// @brief Says that a target ended before it had answered a request.
 struct CrashNotice {
   quarantine::TargetRun Ended;
-  std::vector<quarantine::PromptPart> Parts; ///< Shared parts of the prompt.
+  std::vector<quarantine::CrashSuspect> Suspects;
   Millis Age{0}; ///< Time since then, when the message is sent.
-  quarantine::CrashEvidence Evidence = quarantine::CrashEvidence::Begun;
+  quarantine::CrashEvidence Evidence = quarantine::CrashEvidence::Strong;
 };
 
-/// @brief Says that a prompt with these parts was answered.
+/// @brief Says that a request with these suspects was answered.
 struct ClearanceNotice {
-  std::vector<quarantine::PromptPart> Parts;
+  std::vector<quarantine::CrashSuspect> Suspects;
 };
 
 /// @brief Says that a target has stated that it leaves.
--- a/src/goldcrestnotch/notices/shared_quarantine.cpp
+++ b/src/goldcrestnotch/notices/shared_quarantine.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// Reports about prompt parts, from this VM and from others.
+/// Reports about suspects, from this VM and from others.
 
 #include "goldcrestnotch/notices/shared_quarantine.hpp"
 
@@ -16,10 +16,11 @@
 static constexpr Millis RepeatTime{10'000};
 
 /// @brief Formats hashes for a log line.
-[[nodiscard]] static std::string toText(const SharedQuarantine::Parts &Shared) {
+[[nodiscard]] static std::string
+toText(const SharedQuarantine::Suspects &Listed) {
   std::string Result;
-  for (const auto &Part : Shared) {
-    Result += (Result.empty() ? "" : ",") + std::to_string(Part.Hash);
+  for (const auto &Suspected : Listed) {
+    Result += (Result.empty() ? "" : ",") + std::to_string(Suspected.Hash);
   }
   return Result;
 }
@@ -47,21 +48,18 @@
 
 void SharedQuarantine::reportCrash(Instant Now,
                                    const backend::Registration &Target,
-                                   const Parts &Shared) {
-  if (Shared.empty()) {
-    return;
-  }
-  const CrashNotice Notice{internal::runOf(Target), Shared, Millis{0}};
+                                   const quarantine::RequestSuspects &Own) {
   log(LogLevel::Warn, "prompt.broke_off",
-      {{"target", Target.Name.str()}, {"parts", internal::toText(Shared)}});
-  observeCrash(Now, Notice, "target");
-  Socket.broadcast(Notice);
+      {{"target", Target.Name.str()},
+       {"fingerprint", std::to_string(Own.Request.Hash)},
+       {"parts", internal::toText(Own.Parts)}});
+  tell(Now, {internal::runOf(Target), Own.all(), Millis{0}});
 }
 
 quarantine::OpenAnswers::Key
 SharedQuarantine::open(Instant Now, const backend::Registration &Target,
-                       const Parts &Shared) {
-  return Open.open(Now, internal::runOf(Target), Shared);
+                       const quarantine::RequestSuspects &Own) {
+  return Open.open(Now, internal::runOf(Target), Own);
 }
 
 void SharedQuarantine::reportEnd(Instant Now,
@@ -78,29 +76,38 @@
 }
 
 void SharedQuarantine::report(
-    Instant Now, const std::vector<quarantine::UnansweredPrompt> &Prompts,
+    Instant Now, const std::vector<quarantine::UnansweredRequest> &Unanswered,
     EndSign Sign) {
-  for (const auto &Prompt : Prompts) {
-    if (Prompt.Parts.empty()) {
-      continue;
-    }
-    const CrashNotice Notice{Prompt.Run, Prompt.Parts, Now - Prompt.Since,
-                             Prompt.Begun ? quarantine::CrashEvidence::Begun
-                                          : quarantine::CrashEvidence::Waiting};
+  for (const auto &Request : Unanswered) {
+    const auto &Own = Request.Suspects;
     log(LogLevel::Warn, "prompt.target_ended",
-        {{"run", static_cast<std::int64_t>(Prompt.Run.Incarnation)},
-         {"parts", internal::toText(Prompt.Parts)},
-         {"begun", Prompt.Begun},
+        {{"run", static_cast<std::int64_t>(Request.Run.Incarnation)},
+         {"fingerprint", std::to_string(Own.Request.Hash)},
+         {"parts", internal::toText(Own.Parts)},
+         {"begun", Request.Begun},
          {"sign", std::string{internal::toText(Sign)}}});
-    observeCrash(Now, Notice, "target");
-    Socket.broadcast(Notice);
+    const auto Age = Now - Request.Since;
+    if (Request.Begun) {
+      tell(Now, {Request.Run, Own.all(), Age});
+      continue;
+    }
+    // All that waited at the target may share parts, but not fingerprints.
+    tell(Now, {Request.Run, {Own.Request}, Age});
+    if (!Own.Parts.empty()) {
+      tell(Now, {Request.Run, Own.Parts, Age, quarantine::CrashEvidence::Weak});
+    }
   }
 }
 
+void SharedQuarantine::tell(Instant Now, const CrashNotice &Notice) {
+  observeCrash(Now, Notice, "target");
+  Socket.broadcast(Notice);
+}
+
 void SharedQuarantine::observeCrash(Instant Now, const CrashNotice &Notice,
                                     const char *Source) {
   const auto Quarantined = Quarantine.observeCrash(
-      Now, Now - Notice.Age, Notice.Ended, Notice.Parts, Notice.Evidence);
+      Now, Now - Notice.Age, Notice.Ended, Notice.Suspects, Notice.Evidence);
   if (!Quarantined.empty()) {
     Counters.count("prompt_parts_quarantined_total", Quarantined.size());
     log(LogLevel::Warn, "prompt.quarantined",
@@ -109,8 +116,9 @@
   }
 }
 
-void SharedQuarantine::reportAnswer(Instant Now, const Parts &Shared) {
-  const auto Cleared = Quarantine.observeAnswer(Now, Shared);
+void SharedQuarantine::reportAnswer(Instant Now,
+                                    const quarantine::RequestSuspects &Own) {
+  const auto Cleared = Quarantine.observeAnswer(Now, Own.all());
   if (!Cleared.empty()) {
     log(LogLevel::Info, "prompt.cleared",
         {{"parts", internal::toText(Cleared)}});
@@ -120,7 +128,7 @@
 
 void SharedQuarantine::handle(Instant Now, const CrashNotice &Notice) {
   // Repeats differ in their age only.
-  const CrashNotice First{Notice.Ended, Notice.Parts, Millis{0},
+  const CrashNotice First{Notice.Ended, Notice.Suspects, Millis{0},
                           Notice.Evidence};
   const auto [It, New] =
       Taken.emplace(hashOf(encode(First)), Now + internal::RepeatTime);
@@ -130,11 +138,11 @@
 }
 
 void SharedQuarantine::handle(Instant Now, const ClearanceNotice &Notice) {
-  (void)Quarantine.observeAnswer(Now, Notice.Parts);
+  (void)Quarantine.observeAnswer(Now, Notice.Suspects);
 }
 
 void SharedQuarantine::adopt(
-    Instant Now, const std::vector<quarantine::QuarantinedPart> &Reported) {
+    Instant Now, const std::vector<quarantine::QuarantinedSuspect> &Reported) {
   for (const auto &Entry : Reported) {
     Quarantine.adopt(Now, Entry);
   }
--- a/src/goldcrestnotch/proxy/attempt_plan.hpp
+++ b/src/goldcrestnotch/proxy/attempt_plan.hpp
@@ -17,7 +17,7 @@
   Completed,        ///< The caller has the complete response.
   Unreachable,      ///< No connection; no byte of the request was sent.
   TargetLeft,       ///< It left before the request was sent.
-  PromptRefused,    ///< Its prompt was quarantined before it was sent.
+  Quarantined,      ///< It was in quarantine before it was sent.
   NotExecuted,      ///< The target states that it did not execute the request.
   WrongTarget,      ///< Another target answered and did not execute it.
   Failed,           ///< The target executed it and reports a server error.
@@ -74,7 +74,7 @@
       return NextStep::AbortResponse;
     }
     return State.MayHaveRun ? NextStep::ReportTimeout : NextStep::Reject;
-  case AttemptResult::PromptRefused:
+  case AttemptResult::Quarantined:
     if (State.ResponseBegun) {
       return NextStep::AbortResponse;
     }
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -110,7 +110,7 @@
     Caller.disableKeepAlive();
   }
   try {
-    if (route() && authenticate() && reserve()) {
+    if (route() && authenticate() && passQuarantine() && reserve()) {
       forward();
       settle();
     }
@@ -171,11 +171,6 @@
     reject(503, "shutting_down", retryDelay());
     return false;
   }
-  if (promptRefused()) {
-    reject(503, "prompt_quarantined",
-           Context.Quarantine.deadline(Prompt->SharedParts) - Now);
-    return false;
-  }
   if (!Context.Delay.canMeet(Now, Deadline, internal::MinWork)) {
     Caller.disableKeepAlive(); // The caller may then connect to another VM.
     reject(503, "loop_delayed", retryDelay());
@@ -205,6 +200,24 @@
   return true;
 }
 
+bool Exchange::passQuarantine() {
+  const auto &Request = Caller.request();
+  Suspects.Request = quarantine::fingerprint(
+      {view(Request.method_string()), view(Request[wire::field::host]),
+       view(Request.target()),
+       Workspace != nullptr ? Workspace->Name.str() : std::string_view{},
+       Request.body()});
+  if (Prompt) {
+    Suspects.Parts = Prompt->SharedParts;
+  }
+  if (!quarantined()) {
+    return true;
+  }
+  reject(503, Cause,
+         Context.Quarantine.deadline(Suspects.all()) - DecisionClock::now());
+  return false;
+}
+
 bool Exchange::reserve() {
   if (Workspace == nullptr || !Workspace->Prepaid || !Prompt) {
     return true;
@@ -254,7 +267,7 @@
     State.ResponseBegun = Caller.started();
     State.RetryAllowed =
         Context.RetryBudget.allows(DecisionClock::now(), Service) &&
-        !(LastResult == AttemptResult::ResponseLost && promptSuspect());
+        !(LastResult == AttemptResult::ResponseLost && suspect());
     Step = nextStep(State, LastResult);
     if (Step == NextStep::Retry && State.Sent > 0) {
       Context.RetryBudget.observeRetry(DecisionClock::now(), Service);
@@ -383,9 +396,8 @@
     Cause = "target_left";
     return AttemptResult::TargetLeft;
   }
-  if (promptRefused()) {
-    Cause = "prompt_quarantined";
-    return AttemptResult::PromptRefused;
+  if (quarantined()) {
+    return AttemptResult::Quarantined;
   }
   const auto *ChosenService = Table->service(Service);
   Upstream Remote{
@@ -406,10 +418,7 @@
   AttemptSent = DecisionClock::now();
   TimeToFirstByte = Millis{0};
   EvidenceRecorded = false;
-  if (Prompt) {
-    Open = Context.Quarantine.open(AttemptSent, Target->Registered,
-                                   Prompt->SharedParts);
-  }
+  Open = Context.Quarantine.open(AttemptSent, Target->Registered, Suspects);
   Remote.send(Deadline);
   auto Result = AttemptResult::ResponseLost;
   {
@@ -590,6 +599,9 @@
   }
   ResponseStatus = Remote.status();
   const WireFields Fields = Remote.fields();
+  if (ResponseStatus / 100 == 2) {
+    recordSoundAnswer(); // An error need not tell that the request was run.
+  }
   releaseTarget(Remote);
   Caller.reply(Yield, ResponseStatus, Fields, Body,
                Deadline + internal::DefaultTimeout);
@@ -666,7 +678,7 @@
 bool Exchange::mayLeaveTarget() {
   // While the VM shuts down, the next attempt might not end in time.
   if (Context.Shutdown || !Caller.started() || !State.Resumable ||
-      State.Sent >= State.MaxAttempts || promptSuspect()) {
+      State.Sent >= State.MaxAttempts || suspect()) {
     return false;
   }
   const auto Now = DecisionClock::now();
@@ -679,16 +691,22 @@
          Now >= Other->PausedUntil && Now >= Other->FullUntil;
 }
 
-bool Exchange::promptRefused() const {
-  return Prompt &&
-         Context.Quarantine.judge(DecisionClock::now(), Prompt->SharedParts) ==
-             quarantine::Verdict::Refused;
+bool Exchange::quarantined() {
+  const auto Now = DecisionClock::now();
+  const auto Refuses = [&](const notices::SharedQuarantine::Suspects &Own) {
+    return Context.Quarantine.judge(Now, Own) == quarantine::Verdict::Refused;
+  };
+  if (!Refuses(Suspects.all())) {
+    return false;
+  }
+  Cause = Refuses({Suspects.Request}) ? "request_quarantined"
+                                      : "prompt_quarantined";
+  return true;
 }
 
-bool Exchange::promptSuspect() const {
-  return Prompt &&
-         Context.Quarantine.judge(DecisionClock::now(), Prompt->SharedParts) !=
-             quarantine::Verdict::Sound;
+bool Exchange::suspect() const {
+  return Context.Quarantine.judge(DecisionClock::now(), Suspects.all()) !=
+         quarantine::Verdict::Sound;
 }
 
 bool Exchange::observeSilence(Upstream &Remote) {
@@ -718,8 +736,7 @@
   }
   if (Remote.brokenOff() && Remote.headReceived()) {
     Context.Quarantine.openAnswers().close(*Key);
-    Context.Quarantine.reportCrash(Now, Remote.target().Registered,
-                                   Prompt->SharedParts);
+    Context.Quarantine.reportCrash(Now, Remote.target().Registered, Suspects);
     return;
   }
   Context.Quarantine.openAnswers().lose(Now, *Key);
@@ -731,7 +748,7 @@
 void Exchange::recordSoundAnswer() {
   if (const auto Key = std::exchange(Open, std::nullopt)) {
     Context.Quarantine.openAnswers().close(*Key);
-    Context.Quarantine.reportAnswer(DecisionClock::now(), Prompt->SharedParts);
+    Context.Quarantine.reportAnswer(DecisionClock::now(), Suspects);
   }
 }
 
@@ -806,7 +823,7 @@
     Target.PausedUntil = Now + internal::MinBackoff;
     break;
   case AttemptResult::TargetLeft:
-  case AttemptResult::PromptRefused:
+  case AttemptResult::Quarantined:
   case AttemptResult::DeadlineExceeded:
   case AttemptResult::CallerGone:
     break;
@@ -944,6 +961,7 @@
        {"workspace", Workspace == nullptr ? "" : Workspace->Name.str()},
        {"status", static_cast<std::int64_t>(ResponseStatus)},
        {"cause", Cause},
+       {"fingerprint", std::to_string(Suspects.Request.Hash)},
        {"sent", static_cast<std::int64_t>(State.Sent)},
        {"unreachable", static_cast<std::int64_t>(State.Unreachable)},
        {"target", TriedTargets.empty() ? "" : TriedTargets.back().str()},
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -115,11 +115,14 @@
               std::optional<Millis> RetryAfter = std::nullopt);
   /// @brief Records the time of a read that completed events with an id.
   void recordEventTimes();
-  /// @brief Whether requests with this prompt are refused.
-  [[nodiscard]] bool promptRefused() const;
+  /// @brief Rejects the request if it is in quarantine.
+  /// @return False if it has been rejected.
+  [[nodiscard]] bool passQuarantine();
+  /// @brief Whether the request would crash a target; `Cause` then says why.
+  [[nodiscard]] bool quarantined();
   /// @brief Whether the request must not be sent again, since the lost response
-  /// may be due to its prompt.
-  [[nodiscard]] bool promptSuspect() const;
+  /// may be due to what it contains.
+  [[nodiscard]] bool suspect() const;
   /// @brief Finds out whether a target that sends nothing has ended, and
   /// returns whether it is to be left.
   [[nodiscard]] bool observeSilence(Upstream &Remote);
@@ -147,7 +150,8 @@
   const routing::Workspace *Workspace = nullptr; ///< Null without a valid key.
   routing::ServiceId Service;
   std::optional<PromptInfo> Prompt;
-  Tokens ReservedTokens; ///< Zero if nothing is reserved.
+  quarantine::RequestSuspects Suspects; ///< Known once it is authenticated.
+  Tokens ReservedTokens;                ///< Zero if nothing is reserved.
   std::int64_t TokensPerEvent = 1;
   Instant Deadline{}; ///< When the caller must have the whole response.
   std::string StreamContentType; ///< As stated to the caller.
@@ -156,7 +160,7 @@
   std::uint64_t EventsForwarded = 0; ///< Events with an id.
   Instant AttemptSent{};             ///< When the last attempt was sent.
   Instant HeadReceived{}; ///< When the response to it began to arrive.
-  /// The prompt at the target, until the response is known to be sound.
+  /// The request at the target, until the response is known to be sound.
   std::optional<quarantine::OpenAnswers::Key> Open;
   /// From `AttemptSent` to the response head; for streams, to the first event.
   Millis TimeToFirstByte{0};
--- a/src/goldcrestnotch/proxy/header_names.hpp
+++ b/src/goldcrestnotch/proxy/header_names.hpp
@@ -16,7 +16,7 @@
 
 #include "goldcrestnotch/core/instant.hpp"
 #include "goldcrestnotch/core/tokens.hpp"
-#include "goldcrestnotch/quarantine/prompt_part.hpp"
+#include "goldcrestnotch/quarantine/crash_suspect.hpp"
 
 namespace goldcrestnotch::proxy {
 
@@ -27,7 +27,7 @@
   std::string SharedPrefix; ///< Id of the last prompt part that others share.
   Tokens SharedInput;       ///< Input tokens up to the end of that part.
   /// All parts but the last, which belongs to the request or its session.
-  std::vector<quarantine::PromptPart> SharedParts;
+  std::vector<quarantine::CrashSuspect> SharedParts;
 };
 
 /// @brief Header names of a deployment.
--- a/src/goldcrestnotch/quarantine/fwd.hpp
+++ b/src/goldcrestnotch/quarantine/fwd.hpp
@@ -5,10 +5,12 @@
 
 namespace goldcrestnotch::quarantine {
 
-struct PromptPart;
+struct CrashSuspect;
+struct RequestIdentity;
+struct RequestSuspects;
 struct TargetRun;
-struct UnansweredPrompt;
+struct UnansweredRequest;
 class OpenAnswers;
-class PartQuarantine;
+class CrashQuarantine;
 
 } // namespace goldcrestnotch::quarantine
--- a/src/goldcrestnotch/quarantine/open_answers.cpp
+++ b/src/goldcrestnotch/quarantine/open_answers.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// Bookkeeping of unanswered prompts.
+/// Bookkeeping of unanswered requests.
 
 #include "goldcrestnotch/quarantine/open_answers.hpp"
 
@@ -8,37 +8,37 @@
 namespace goldcrestnotch::quarantine {
 
 OpenAnswers::Key OpenAnswers::open(Instant Now, TargetRun Run,
-                                   std::vector<PromptPart> Parts) {
-  Prompts.emplace(++LastKey, Entry{{Run, std::move(Parts), false, Now}});
+                                   RequestSuspects Suspects) {
+  Requests.emplace(++LastKey, Entry{{Run, std::move(Suspects), false, Now}});
   return LastKey;
 }
 
-void OpenAnswers::begin(Instant Now, Key Prompt) {
-  if (const auto It = Prompts.find(Prompt); It != Prompts.end()) {
-    It->second.Prompt.Begun = true;
-    It->second.Prompt.Since = Now;
+void OpenAnswers::begin(Instant Now, Key Request) {
+  if (const auto It = Requests.find(Request); It != Requests.end()) {
+    It->second.Request.Begun = true;
+    It->second.Request.Since = Now;
   }
 }
 
-void OpenAnswers::lose(Instant Now, Key Prompt) {
-  const auto It = Prompts.find(Prompt);
-  if (It == Prompts.end()) {
+void OpenAnswers::lose(Instant Now, Key Request) {
+  const auto It = Requests.find(Request);
+  if (It == Requests.end()) {
     return;
   }
   if (++Lost > MaxLost) {
-    Prompts.erase(It);
+    Requests.erase(It);
     return;
   }
   It->second.MemoryDeadline = Now + LossMemory;
 }
 
 template <typename Predicate>
-std::vector<UnansweredPrompt> OpenAnswers::take(Predicate Matches) {
-  std::vector<UnansweredPrompt> Result;
-  for (auto It = Prompts.begin(); It != Prompts.end();) {
-    if (Matches(It->second.Prompt)) {
-      Result.push_back(std::move(It->second.Prompt));
-      It = Prompts.erase(It);
+std::vector<UnansweredRequest> OpenAnswers::take(Predicate Matches) {
+  std::vector<UnansweredRequest> Result;
+  for (auto It = Requests.begin(); It != Requests.end();) {
+    if (Matches(It->second.Request)) {
+      Result.push_back(std::move(It->second.Request));
+      It = Requests.erase(It);
     } else {
       ++It;
     }
@@ -46,26 +46,26 @@
   return Result;
 }
 
-std::vector<UnansweredPrompt> OpenAnswers::endRun(TargetRun Ended,
-                                                  bool OnlyBegun) {
-  return take([&](const UnansweredPrompt &Prompt) {
-    return Prompt.Run == Ended && (Prompt.Begun || !OnlyBegun);
+std::vector<UnansweredRequest> OpenAnswers::endRun(TargetRun Ended,
+                                                   bool OnlyBegun) {
+  return take([&](const UnansweredRequest &Request) {
+    return Request.Run == Ended && (Request.Begun || !OnlyBegun);
   });
 }
 
-std::vector<UnansweredPrompt> OpenAnswers::startRun(TargetRun Started) {
-  return take([&](const UnansweredPrompt &Prompt) {
-    return Prompt.Run.NameHash == Started.NameHash &&
-           Prompt.Run.Incarnation < Started.Incarnation;
+std::vector<UnansweredRequest> OpenAnswers::startRun(TargetRun Started) {
+  return take([&](const UnansweredRequest &Request) {
+    return Request.Run.NameHash == Started.NameHash &&
+           Request.Run.Incarnation < Started.Incarnation;
   });
 }
 
 void OpenAnswers::expire(Instant Now) {
-  std::erase_if(Prompts, [&](const auto &Item) {
+  std::erase_if(Requests, [&](const auto &Item) {
     return Now >= Item.second.MemoryDeadline;
   });
   Lost = 0;
-  for (const auto &Item : Prompts) {
+  for (const auto &Item : Requests) {
     Lost += Item.second.MemoryDeadline != Instant::max() ? 1 : 0;
   }
 }
--- a/src/goldcrestnotch/roster/member_record.hpp
+++ b/src/goldcrestnotch/roster/member_record.hpp
@@ -31,11 +31,11 @@
 using MoveEvidenceByService = std::map<std::string, MoveEvidence>;
 
 /// @brief A part of prompts that a VM keeps in quarantine.
-struct QuarantinedPart {
+struct QuarantinedSuspect {
   std::uint64_t Hash = 0;
   std::int64_t RemainingMs = 0; ///< At the time of the record.
 
-  auto operator<=>(const QuarantinedPart &) const = default;
+  auto operator<=>(const QuarantinedSuspect &) const = default;
 };
 
 /// @brief The newest record of a VM; its key is the VM's address.
@@ -48,7 +48,7 @@
   bool Leaving = false;       ///< The VM accepts no new callers.
   MoveEvidenceByService Moves;
   /// For VMs that start later; the others learn it from notices.
-  std::vector<QuarantinedPart> Quarantined;
+  std::vector<QuarantinedSuspect> Quarantined;
 
   auto operator<=>(const MemberRecord &) const = default;
 };
--- a/src/goldcrestnotch/roster/roster.hpp
+++ b/src/goldcrestnotch/roster/roster.hpp
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "goldcrestnotch/core/instant.hpp"
-#include "goldcrestnotch/quarantine/part_quarantine.hpp"
+#include "goldcrestnotch/quarantine/crash_quarantine.hpp"
 #include "goldcrestnotch/roster/member_record.hpp"
 
 namespace goldcrestnotch::roster {
@@ -131,8 +131,9 @@
 
   /// @brief The prompt parts that a VM keeps in quarantine, with the time at
   /// which that ends.
-  [[nodiscard]] std::vector<quarantine::QuarantinedPart> quarantined() const {
-    std::vector<quarantine::QuarantinedPart> Result;
+  [[nodiscard]] std::vector<quarantine::QuarantinedSuspect>
+  quarantined() const {
+    std::vector<quarantine::QuarantinedSuspect> Result;
     for (const auto &[Vm, Entry] : Members) {
       for (const auto &Part : Entry.Record.Quarantined) {
         Result.push_back(
--- a/src/goldcrestnotch/roster/roster_sync.hpp
+++ b/src/goldcrestnotch/roster/roster_sync.hpp
@@ -60,7 +60,7 @@
     Self.Moves = std::move(Evidence);
   }
   /// @brief Sets the quarantined prompt parts to publish with the next record.
-  void setQuarantined(std::vector<QuarantinedPart> Parts) {
+  void setQuarantined(std::vector<QuarantinedSuspect> Parts) {
     Self.Quarantined = std::move(Parts);
   }
   /// @brief Announces with the next step that this VM accepts no new callers.
--- a/test/goldcrestnotch/notices/message_test.cpp
+++ b/test/goldcrestnotch/notices/message_test.cpp
@@ -43,12 +43,13 @@
   const auto &Notice = std::get<CrashNotice>(*Result);
   EXPECT_EQ(Notice.Ended, (quarantine::TargetRun{7, 8}));
   EXPECT_EQ(Notice.Age, Millis{11});
-  EXPECT_EQ(Notice.Parts, (std::vector<quarantine::PromptPart>{{9}, {10}}));
+  EXPECT_EQ(Notice.Suspects,
+            (std::vector<quarantine::CrashSuspect>{{9}, {10}}));
 }
 
 TEST(NoticeMessage, CrashKeepsItsEvidence) {
   for (const auto Evidence :
-       {quarantine::CrashEvidence::Begun, quarantine::CrashEvidence::Waiting}) {
+       {quarantine::CrashEvidence::Strong, quarantine::CrashEvidence::Weak}) {
     const auto Result =
         decoded(encode(CrashNotice{{7, 8}, {{9}}, Millis{11}, Evidence}));
     ASSERT_TRUE(Result && std::holds_alternative<CrashNotice>(*Result));
@@ -56,10 +57,10 @@
   }
 }
 
-TEST(NoticeMessage, ClearanceKeepsItsParts) {
+TEST(NoticeMessage, ClearanceKeepsItsSuspects) {
   const auto Result = decoded(encode(ClearanceNotice{{{9}}}));
   ASSERT_TRUE(Result && std::holds_alternative<ClearanceNotice>(*Result));
-  EXPECT_EQ(std::get<ClearanceNotice>(*Result).Parts.size(), 1U);
+  EXPECT_EQ(std::get<ClearanceNotice>(*Result).Suspects.size(), 1U);
 }
 
 TEST(NoticeMessage, LargestMessagesFitIntoAPacket) {
@@ -67,10 +68,11 @@
   Source.Nonce = UINT64_MAX;
   Source.Leaving.assign(MaxTargets, UINT64_MAX);
   EXPECT_LE(encode(Source).size(), MaxMessageBytes);
-  const CrashNotice Crash{{UINT64_MAX, UINT64_MAX},
-                          std::vector<quarantine::PromptPart>(
-                              MaxParts + 1, quarantine::PromptPart{UINT64_MAX}),
-                          Millis::max()};
+  const CrashNotice Crash{
+      {UINT64_MAX, UINT64_MAX},
+      std::vector<quarantine::CrashSuspect>(
+          MaxSuspects + 1, quarantine::CrashSuspect{UINT64_MAX}),
+      Millis::max()};
   EXPECT_LE(encode(Crash).size(), MaxMessageBytes);
 }
 
--- a/test/goldcrestnotch/quarantine/part_quarantine_test.cpp
+++ b/test/goldcrestnotch/quarantine/crash_quarantine_test.cpp
@@ -1,7 +1,7 @@
 /// @file
-/// Tests of which prompts are refused because they crash their targets.
+/// Tests of which requests are refused because they crash their targets.
 
-#include "goldcrestnotch/quarantine/part_quarantine.hpp"
+#include "goldcrestnotch/quarantine/crash_quarantine.hpp"
 
 #include <gtest/gtest.h>
 
@@ -9,26 +9,26 @@
 namespace {
 
 constexpr Instant Start{Millis{1'000'000}};
-constexpr PromptPart Shared{1};
-constexpr PromptPart Crashing{2};
-constexpr PromptPart Sound{3};
-const std::vector<PromptPart> CrashingPrompt{Shared, Crashing};
-const std::vector<PromptPart> SoundPrompt{Shared, Sound};
-const std::vector<PromptPart> CrashingPartAlone{Crashing};
+constexpr CrashSuspect Shared{1};
+constexpr CrashSuspect Crashing{2};
+constexpr CrashSuspect Sound{3};
+const std::vector<CrashSuspect> CrashingPrompt{Shared, Crashing};
+const std::vector<CrashSuspect> SoundPrompt{Shared, Sound};
+const std::vector<CrashSuspect> CrashingPartAlone{Crashing};
 
 /// @brief Records crashes of different targets at different times.
-void crash(PartQuarantine &Quarantine, std::size_t Count,
-           const std::vector<PromptPart> &Parts, std::uint64_t First = 100,
-           CrashEvidence Evidence = CrashEvidence::Begun) {
+void crash(CrashQuarantine &Quarantine, std::size_t Count,
+           const std::vector<CrashSuspect> &Parts, std::uint64_t First = 100,
+           CrashEvidence Evidence = CrashEvidence::Strong) {
   for (std::size_t I = 0; I < Count; ++I) {
-    const auto When = Start + PartQuarantine::CorrelationTime *
+    const auto When = Start + CrashQuarantine::CorrelationTime *
                                   static_cast<std::int64_t>(First + I);
     (void)Quarantine.observeCrash(Start, When, {First + I, 1}, Parts, Evidence);
   }
 }
 
-TEST(PartQuarantine, ThreeCrashedTargetsQuarantineAPart) {
-  PartQuarantine Quarantine;
+TEST(CrashQuarantine, ThreeCrashedTargetsQuarantineAPart) {
+  CrashQuarantine Quarantine;
   crash(Quarantine, 1, CrashingPrompt);
   EXPECT_EQ(Quarantine.judge(Start, CrashingPrompt), Verdict::Sound);
   crash(Quarantine, 1, CrashingPrompt, 101);
@@ -37,32 +37,51 @@
   EXPECT_EQ(Quarantine.judge(Start, CrashingPrompt), Verdict::Refused);
 }
 
-TEST(PartQuarantine, FiveTargetsThatEndBeforeTheyRespondQuarantineAPart) {
-  PartQuarantine Quarantine;
-  crash(Quarantine, 4, CrashingPrompt, 100, CrashEvidence::Waiting);
+TEST(CrashQuarantine, FiveTargetsThatEndBeforeTheyRespondQuarantineAPart) {
+  CrashQuarantine Quarantine;
+  crash(Quarantine, 4, CrashingPrompt, 100, CrashEvidence::Weak);
   EXPECT_EQ(Quarantine.judge(Start, CrashingPrompt), Verdict::Suspect);
-  crash(Quarantine, 1, CrashingPrompt, 104, CrashEvidence::Waiting);
+  crash(Quarantine, 1, CrashingPrompt, 104, CrashEvidence::Weak);
   EXPECT_EQ(Quarantine.judge(Start, CrashingPrompt), Verdict::Refused);
 }
 
-TEST(PartQuarantine, PromptThatWaitedAtCrashedTargetsIsClearedByAnAnswer) {
-  PartQuarantine Quarantine;
-  crash(Quarantine, 4, SoundPrompt, 100, CrashEvidence::Waiting);
+TEST(CrashQuarantine, PromptThatWaitedAtCrashedTargetsIsClearedByAnAnswer) {
+  CrashQuarantine Quarantine;
+  crash(Quarantine, 4, SoundPrompt, 100, CrashEvidence::Weak);
   (void)Quarantine.observeAnswer(Start, SoundPrompt);
-  crash(Quarantine, 4, SoundPrompt, 200, CrashEvidence::Waiting);
+  crash(Quarantine, 4, SoundPrompt, 200, CrashEvidence::Weak);
   EXPECT_NE(Quarantine.judge(Start, SoundPrompt), Verdict::Refused);
 }
 
-TEST(PartQuarantine, OneTargetThatBreaksOffOftenIsNoEvidence) {
-  PartQuarantine Quarantine;
+TEST(CrashQuarantine, RequestThatWaitedAtEachCrashedTargetIsServed) {
+  CrashQuarantine Quarantine;
+  const std::vector<CrashSuspect> CrashingRequest{{4}};
+  const std::vector<CrashSuspect> WaitingRequest{{5}};
+  crash(Quarantine, 4, CrashingRequest);
+  crash(Quarantine, 3, WaitingRequest);
+  EXPECT_EQ(Quarantine.judge(Start, CrashingRequest), Verdict::Refused);
+  EXPECT_NE(Quarantine.judge(Start, WaitingRequest), Verdict::Refused);
+}
+
+TEST(CrashQuarantine, CrashingRequestLeavesThePartsOfItsPromptAlone) {
+  CrashQuarantine Quarantine;
+  const std::vector<CrashSuspect> CrashingChat{{4}, Shared};
+  const std::vector<CrashSuspect> SoundChat{{5}, Shared};
+  crash(Quarantine, 3, CrashingChat);
+  EXPECT_EQ(Quarantine.judge(Start, CrashingChat), Verdict::Refused);
+  EXPECT_NE(Quarantine.judge(Start, SoundChat), Verdict::Refused);
+}
+
+TEST(CrashQuarantine, OneTargetThatBreaksOffOftenIsNoEvidence) {
+  CrashQuarantine Quarantine;
   for (int I = 0; I < 10; ++I) {
     crash(Quarantine, 1, CrashingPrompt);
   }
   EXPECT_EQ(Quarantine.judge(Start, CrashingPrompt), Verdict::Sound);
 }
 
-TEST(PartQuarantine, TargetsThatCrashAtOnceAreLittleEvidence) {
-  PartQuarantine Quarantine;
+TEST(CrashQuarantine, TargetsThatCrashAtOnceAreLittleEvidence) {
+  CrashQuarantine Quarantine;
   for (std::uint64_t I = 0; I < 30; ++I) {
     const auto When = Start + Millis{static_cast<std::int64_t>(I)};
     (void)Quarantine.observeCrash(Start, When, {I, 1}, SoundPrompt);
@@ -70,18 +89,18 @@
   EXPECT_EQ(Quarantine.judge(Start, SoundPrompt), Verdict::Sound);
 }
 
-TEST(PartQuarantine, PartThatWasAnsweredBeforeIsRefusedForAShortTime) {
-  PartQuarantine Quarantine;
+TEST(CrashQuarantine, PartThatWasAnsweredBeforeIsRefusedForAShortTime) {
+  CrashQuarantine Quarantine;
   (void)Quarantine.observeAnswer(Start, SoundPrompt);
   crash(Quarantine, 3, SoundPrompt);
   EXPECT_EQ(Quarantine.judge(Start, SoundPrompt), Verdict::Refused);
-  EXPECT_EQ(Quarantine.judge(Start + PartQuarantine::MinRefusalOfKnownPart,
+  EXPECT_EQ(Quarantine.judge(Start + CrashQuarantine::MinRefusalOfKnownPart,
                              SoundPrompt),
             Verdict::Suspect);
 }
 
-TEST(PartQuarantine, PartThatIsAnsweredInBetweenIsNeverRefused) {
-  PartQuarantine Quarantine;
+TEST(CrashQuarantine, PartThatIsAnsweredInBetweenIsNeverRefused) {
+  CrashQuarantine Quarantine;
   for (std::uint64_t I = 0; I < 10; ++I) {
     crash(Quarantine, 2, CrashingPrompt, 100 + I * 2);
     EXPECT_EQ(Quarantine.observeAnswer(Start, SoundPrompt).size(), 1U);
@@ -90,8 +109,8 @@
   EXPECT_EQ(Quarantine.judge(Start, CrashingPrompt), Verdict::Refused);
 }
 
-TEST(PartQuarantine, PromptThatSharesOnlySomeSuspectedPartsIsTried) {
-  PartQuarantine Quarantine;
+TEST(CrashQuarantine, PromptThatSharesOnlySomeSuspectedPartsIsTried) {
+  CrashQuarantine Quarantine;
   crash(Quarantine, 3, CrashingPrompt);
   EXPECT_EQ(Quarantine.judge(Start, SoundPrompt), Verdict::Suspect);
   (void)Quarantine.observeAnswer(Start, SoundPrompt);
@@ -99,46 +118,46 @@
   EXPECT_EQ(Quarantine.judge(Start, CrashingPrompt), Verdict::Refused);
 }
 
-TEST(PartQuarantine, PartThatCrashesWithOthersTooIsRefusedWithAll) {
-  PartQuarantine Quarantine;
+TEST(CrashQuarantine, PartThatCrashesWithOthersTooIsRefusedWithAll) {
+  CrashQuarantine Quarantine;
   crash(Quarantine, 3, CrashingPrompt);
   crash(Quarantine, 1, SoundPrompt, 200); // It was the shared part.
   EXPECT_EQ(Quarantine.judge(Start, SoundPrompt), Verdict::Refused);
 }
 
-TEST(PartQuarantine, RelapseIsRefusedAtOnceAndForLonger) {
-  PartQuarantine Quarantine;
+TEST(CrashQuarantine, RelapseIsRefusedAtOnceAndForLonger) {
+  CrashQuarantine Quarantine;
   crash(Quarantine, 3, CrashingPartAlone);
-  const auto After = Start + PartQuarantine::MinRefusal;
+  const auto After = Start + CrashQuarantine::MinRefusal;
   EXPECT_EQ(Quarantine.judge(After, CrashingPrompt), Verdict::Suspect);
   EXPECT_EQ(
       Quarantine.observeCrash(After, After, {500, 1}, CrashingPartAlone).size(),
       1U);
   EXPECT_EQ(Quarantine.deadline(CrashingPrompt),
-            After + PartQuarantine::MinRefusal * 2);
+            After + CrashQuarantine::MinRefusal * 2);
 }
 
-TEST(PartQuarantine, ReportOfAnotherVmIsTakenOnce) {
-  PartQuarantine Quarantine;
-  const QuarantinedPart Reported{Crashing, Start + Millis{5'000}};
+TEST(CrashQuarantine, ReportOfAnotherVmIsTakenOnce) {
+  CrashQuarantine Quarantine;
+  const QuarantinedSuspect Reported{Crashing, Start + Millis{5'000}};
   Quarantine.adopt(Start, Reported);
   EXPECT_EQ(Quarantine.judge(Start, CrashingPrompt), Verdict::Refused);
   Quarantine.adopt(Start, {Crashing, Start + Millis{9'000}});
   EXPECT_EQ(Quarantine.deadline(CrashingPrompt), Reported.Deadline);
 }
 
-TEST(PartQuarantine, ReportFromBeforeAnAnswerIsIgnored) {
-  PartQuarantine Quarantine;
+TEST(CrashQuarantine, ReportFromBeforeAnAnswerIsIgnored) {
+  CrashQuarantine Quarantine;
   crash(Quarantine, 1, SoundPrompt);
   (void)Quarantine.observeAnswer(Start, SoundPrompt);
   Quarantine.adopt(Start, {Shared, Start + Millis{5'000}});
   EXPECT_EQ(Quarantine.judge(Start, SoundPrompt), Verdict::Sound);
 }
 
-TEST(PartQuarantine, SuspicionsAreForgotten) {
-  PartQuarantine Quarantine;
+TEST(CrashQuarantine, SuspicionsAreForgotten) {
+  CrashQuarantine Quarantine;
   crash(Quarantine, 2, CrashingPrompt);
-  Quarantine.expire(Start + PartQuarantine::SuspicionTime);
+  Quarantine.expire(Start + CrashQuarantine::SuspicionTime);
   EXPECT_EQ(Quarantine.judge(Start, CrashingPrompt), Verdict::Sound);
 }
 
--- a/test/model/quarantine_fleet_test.cpp
+++ b/test/model/quarantine_fleet_test.cpp
@@ -1,8 +1,9 @@
 /// @file
-/// A fleet in virtual time that serves prompts with a part that crashes their
-/// targets, among sound prompts. VMs exchange notices with delay and loss.
+/// A fleet in virtual time that serves requests that crash their targets, or
+/// prompts with a part that does, among sound prompts. VMs exchange notices
+/// with delay and loss.
 
-#include "goldcrestnotch/quarantine/part_quarantine.hpp"
+#include "goldcrestnotch/quarantine/crash_quarantine.hpp"
 
 #include <algorithm>
 #include <functional>
@@ -32,8 +33,12 @@
 constexpr std::size_t CrashesUntilKnown = 5;
 constexpr std::size_t MaxCrashesAfter = 3;
 
-using Parts = std::vector<PromptPart>;
+using Parts = std::vector<CrashSuspect>;
 const Parts CrashingPrompt{{1}, {2}, {3}};
+/// A request without a prompt.
+const Parts CrashingRequest{{4}};
+/// Crashes by which the VMs must know a request.
+constexpr std::size_t CrashesUntilRequestKnown = 3;
 
 class FleetModel {
 public:
@@ -65,7 +70,7 @@
   /// @brief Crashes targets, one after the other, while they begin to answer
   /// sound prompts.
   void crashTargets(std::size_t Count, Millis Interval,
-                    CrashEvidence Evidence = CrashEvidence::Begun) {
+                    CrashEvidence Evidence = CrashEvidence::Strong) {
     for (std::size_t I = 0; I < Count; ++I) {
       schedule(Interval * static_cast<std::int64_t>(I), [this, I, Evidence] {
         reportCrash(drawVm(), {{1}, {2}, {100 + I}}, Evidence);
@@ -73,11 +78,12 @@
     }
   }
 
-  [[nodiscard]] std::size_t lateCrashes() const {
-    if (Crashes.size() < CrashesUntilKnown) {
+  [[nodiscard]] std::size_t
+  lateCrashes(std::size_t UntilKnown = CrashesUntilKnown) const {
+    if (Crashes.size() < UntilKnown) {
       return 0;
     }
-    const auto Known = Crashes[CrashesUntilKnown - 1] + ReactionTime;
+    const auto Known = Crashes[UntilKnown - 1] + ReactionTime;
     return static_cast<std::size_t>(
         std::count_if(Crashes.begin(), Crashes.end(),
                       [&](Instant When) { return When > Known; }));
@@ -96,7 +102,7 @@
   }
   /// @brief Lets all VMs but one take a notice, each with a delay of its own.
   void broadcast(std::size_t From,
-                 const std::function<void(PartQuarantine &)> &Take) {
+                 const std::function<void(CrashQuarantine &)> &Take) {
     for (std::size_t To = 0; To < Vms.size(); ++To) {
       std::bernoulli_distribution Lost{LostNotices};
       for (const auto Repeat : RepeatDelays) {
@@ -110,14 +116,14 @@
     }
   }
   void reportCrash(std::size_t Vm, const Parts &Prompt,
-                   CrashEvidence Evidence = CrashEvidence::Begun) {
+                   CrashEvidence Evidence = CrashEvidence::Strong) {
     report(Vm, {++LastTarget, 1}, Now, Prompt, Evidence);
   }
   void report(std::size_t Vm, TargetRun Ended, Instant When,
               const Parts &Prompt, CrashEvidence Evidence) {
     (void)Vms[Vm].observeCrash(Now, When, Ended, Prompt, Evidence);
     // Notices state their age.
-    broadcast(Vm, [=, this](PartQuarantine &Quarantine) {
+    broadcast(Vm, [=, this](CrashQuarantine &Quarantine) {
       (void)Quarantine.observeCrash(Now, When, Ended, Prompt, Evidence);
     });
   }
@@ -127,10 +133,10 @@
     const TargetRun Ended{++LastTarget, 1};
     const auto When = Now;
     schedule(DownTime, [this, Vm, Ended, When] {
-      report(Vm, Ended, When, CrashingPrompt, CrashEvidence::Waiting);
+      report(Vm, Ended, When, CrashingPrompt, CrashEvidence::Weak);
       for (std::uint64_t I = 0; I < PromptsThatWait; ++I) {
         report(drawVm(), Ended, When, {{1}, {2}, {100 + (LastTarget + I) % 50}},
-               CrashEvidence::Waiting);
+               CrashEvidence::Weak);
       }
     });
   }
@@ -145,7 +151,7 @@
     schedule(TimeToAnswer, [this, Vm, Prompt] {
       const auto Cleared = Vms[Vm].observeAnswer(Now, Prompt);
       if (!Cleared.empty()) {
-        broadcast(Vm, [this, Cleared](PartQuarantine &Quarantine) {
+        broadcast(Vm, [this, Cleared](CrashQuarantine &Quarantine) {
           (void)Quarantine.observeAnswer(Now, Cleared);
         });
       }
@@ -156,7 +162,7 @@
     attemptCrashing(drawVm(), AttemptsLeft);
   }
   void attemptCrashing(std::size_t Vm, int AttemptsLeft) {
-    if (Vms[Vm].judge(Now, CrashingPrompt) == Verdict::Refused) {
+    if (Vms[Vm].judge(Now, Crashing) == Verdict::Refused) {
       return;
     }
     schedule(TimeToAnswer, [this, Vm, AttemptsLeft] {
@@ -165,9 +171,8 @@
         reportSilentCrash(Vm);
         return; // The caller waits for the response until it leaves.
       }
-      reportCrash(Vm, CrashingPrompt);
-      if (AttemptsLeft > 1 &&
-          Vms[Vm].judge(Now, CrashingPrompt) == Verdict::Sound) {
+      reportCrash(Vm, Crashing);
+      if (AttemptsLeft > 1 && Vms[Vm].judge(Now, Crashing) == Verdict::Sound) {
         attemptCrashing(Vm, AttemptsLeft - 1);
       }
     });
@@ -176,9 +181,11 @@
 public:
   /// Targets crash without a response, and their connections stay open.
   bool SilentCrashes = false;
+  /// The suspects of what crashes targets.
+  Parts Crashing = CrashingPrompt;
 
 private:
-  std::vector<PartQuarantine> Vms;
+  std::vector<CrashQuarantine> Vms;
   std::multimap<Instant, std::function<void()>> Events;
   std::mt19937_64 Random{11};
   Instant Now = Start;
@@ -205,10 +212,18 @@
   EXPECT_GE(Fleet.soundShare(), 0.99);
 }
 
+TEST_P(QuarantineFleet, FewTargetsCrashUnderARequestThatComesAgain) {
+  FleetModel Fleet{GetParam()};
+  Fleet.Crashing = CrashingRequest;
+  Fleet.run(Millis{60'000});
+  EXPECT_LE(Fleet.lateCrashes(CrashesUntilRequestKnown), MaxCrashesAfter);
+  EXPECT_EQ(Fleet.soundShare(), 1);
+}
+
 TEST_P(QuarantineFleet, PromptsThatWaitAtCrashedTargetsAreServed) {
   FleetModel Fleet{GetParam()};
   Fleet.run(Millis{10'000});
-  Fleet.crashTargets(60, Millis{120}, CrashEvidence::Waiting);
+  Fleet.crashTargets(60, Millis{120}, CrashEvidence::Weak);
   Fleet.run(Millis{20'000});
   EXPECT_GE(Fleet.soundShare(), 0.99);
 }
