LOST: a silent target is left only for one that has taken a new connection

Cause: after 1.6 s of silence the target was left as soon as another one looked usable. That one was then tried: three that took no connection ended the stream, and a connection that had been kept to a target that was down as well used up the attempts. Class: a resource is given up before its replacement is known to work.

Now a new connection to the other target is opened first; one that fails pauses that target, and the silent one is kept meanwhile. The stream goes on at that connection. Pausing a target after a failure is a function of the target; opening a connection has one function for both users.

Evidence: PlatformSilentTarget.IsKeptIfTheOtherTakesNoConnection and ...IsReachedByKeptConnectionsOnly fail before (the stream is cut), pass now.

--- a/src/goldcrestnotch/backend/target.hpp
+++ b/src/goldcrestnotch/backend/target.hpp
@@ -41,6 +41,11 @@
 /// Invariant: `InProgress` counts the requests that this VM sent to the target
 /// and that have not ended. An update of the registration does not reset it.
 struct Target {
+  /// After a failure, other targets are preferred for this long; the time
+  /// doubles with each consecutive failure.
+  static constexpr Millis MinBackoff{250};
+  static constexpr std::uint32_t MaxBackoffDoublings = 4;
+
   Registration Registered;
   /// When a target whose registration is missing is removed.
   Instant RemovalDeadline = Instant::max();
@@ -65,6 +70,12 @@
   /// Requests that this VM has sent to it since it began to state a limit.
   std::uint64_t SentWhileLimited = 0;
 
+  /// @brief Records that it could not be reached, or lost a response.
+  void recordFailure(Instant Now) noexcept {
+    PausedUntil = Now + MinBackoff * (1U << std::min(ConsecutiveFailures,
+                                                     MaxBackoffDoublings));
+    ++ConsecutiveFailures;
+  }
   /// @brief Whether this VM may send it a request now.
   [[nodiscard]] bool accepts(Instant Now) const noexcept {
     return !leaving() && Now >= NoRequestsUntil;
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -29,8 +29,6 @@
 
 namespace internal {
 
-/// Limit for opening a connection; targets are in the same region as the VM.
-static constexpr Millis ConnectTimeout{250};
 /// Limit for obtaining budget tokens that other VMs hold.
 static constexpr Millis BudgetTimeout{250};
 /// Limit for waiting until a target with a rate limit may get a request, also
@@ -49,10 +47,6 @@
 /// Rejected callers are told to retry after a random time between this and
 /// twice as long.
 static constexpr Millis MinRetryDelay{150};
-/// After a failure, other targets are preferred for this long; the time doubles
-/// with each consecutive failure.
-static constexpr Millis MinBackoff{250};
-static constexpr std::uint32_t MaxBackoffDoublings = 4;
 /// After a target refused a request because it was full, other targets are
 /// preferred for this long.
 static constexpr Millis FullBackoff{100};
@@ -266,7 +260,8 @@
     recordResult(*Target, LastResult);
     State.ResponseBegun = Caller.started();
     State.RetryAllowed =
-        Context.RetryBudget.allows(DecisionClock::now(), Service) &&
+        (Next.Target ||
+         Context.RetryBudget.allows(DecisionClock::now(), Service)) &&
         !(LastResult == AttemptResult::ResponseLost && suspect());
     Step = nextStep(State, LastResult);
     if (Step == NextStep::Retry && State.Sent > 0) {
@@ -286,6 +281,10 @@
 }
 
 std::shared_ptr<backend::Target> Exchange::chooseTarget() {
+  if (Next.Target && mayReceive(Next.Target)) {
+    return Next.Target;
+  }
+  Next = {};
   auto Wanted = targetRequest();
   const auto WaitDeadline = permitDeadline();
   const double VersionDraw = Context.draw();
@@ -359,21 +358,17 @@
 
 std::shared_ptr<TargetConnection>
 Exchange::connect(Instant Now, const backend::Registration &Target) {
+  if (Next.Connection) {
+    return std::exchange(Next, {}).Connection;
+  }
   if (auto Idle = Context.Connections.acquire(Now, Target)) {
     return Idle;
   }
   try {
-    auto Opened = Context.Connections.connect(
-        Yield, Target, std::min(Deadline, Now + internal::ConnectTimeout));
-    Context.Measured.count("target_connections_total");
-    return Opened;
+    return Context.openConnection(Yield, Target, Deadline);
   } catch (const Error &Failure) {
     ++State.Unreachable;
     Cause = Failure.code();
-    if (Cause == ConnectionPool::RefusedConnection) {
-      Context.Quarantine.reportEnd(DecisionClock::now(), Target,
-                                   notices::EndSign::RefusesConnections);
-    }
     return nullptr;
   }
 }
@@ -613,8 +608,10 @@
   const int Status = Remote.status();
   Framer.beginConnection();
   std::string Bytes;
-  SilenceWatch Silence{Context.Loop, Remote.connection(),
-                       [this, &Remote] { return observeSilence(Remote); }};
+  ReplacementSearch Search{Context};
+  SilenceWatch Silence{
+      Context.Loop, Remote.connection(),
+      [this, &Remote, &Search] { return observeSilence(Remote, Search); }};
   while (!Remote.complete()) {
     Bytes.clear();
     Silence.beginRead(DecisionClock::now());
@@ -675,20 +672,20 @@
   return AttemptResult::Completed;
 }
 
-bool Exchange::mayLeaveTarget() {
+std::shared_ptr<backend::Target> Exchange::replacement() {
+  const auto Now = DecisionClock::now();
   // While the VM shuts down, the next attempt might not end in time.
   if (Context.Shutdown || !Caller.started() || !State.Resumable ||
-      State.Sent >= State.MaxAttempts || suspect()) {
-    return false;
+      State.Sent >= State.MaxAttempts || suspect() ||
+      !Context.RetryBudget.allows(Now, Service)) {
+    return nullptr;
   }
-  const auto Now = DecisionClock::now();
   auto Wanted = targetRequest();
-  const auto Other = Context.RetryBudget.allows(Now, Service)
-                         ? pickTarget(Wanted, Context.draw())
-                         : nullptr;
+  auto Other = pickTarget(Wanted, Context.draw());
   // A target with a rate limit may refuse its permit.
-  return Other && !Other->RateLimit && !Other->missing() &&
-         Now >= Other->PausedUntil && Now >= Other->FullUntil;
+  const bool Usable = Other && !Other->RateLimit && !Other->missing() &&
+                      Now >= Other->PausedUntil && Now >= Other->FullUntil;
+  return Usable ? Other : nullptr;
 }
 
 bool Exchange::quarantined() {
@@ -709,11 +706,23 @@
          quarantine::Verdict::Sound;
 }
 
-bool Exchange::observeSilence(Upstream &Remote) {
+bool Exchange::observeSilence(Upstream &Remote, ReplacementSearch &Search) {
   if (Open && Context.ProbeTarget) {
     Context.ProbeTarget(Remote.target().Registered);
   }
-  return mayLeaveTarget();
+  const auto Other = replacement();
+  if (!Other) {
+    return false;
+  }
+  if (!Search.found()) {
+    Search.begin(Other);
+    return false;
+  }
+  Next = Search.take();
+  if (!mayReceive(Next.Target)) {
+    Next = {};
+  }
+  return Next.Target != nullptr;
 }
 
 void Exchange::recordEnd(Upstream &Remote, AttemptResult Result) {
@@ -810,17 +819,13 @@
     break;
   case AttemptResult::Unreachable:
   case AttemptResult::ResponseLost:
-    Target.PausedUntil =
-        Now +
-        internal::MinBackoff * (1U << std::min(Target.ConsecutiveFailures,
-                                               internal::MaxBackoffDoublings));
-    ++Target.ConsecutiveFailures;
+    Target.recordFailure(Now);
     break;
   case AttemptResult::NotExecuted:
     Target.FullUntil = Now + internal::FullBackoff;
     break;
   case AttemptResult::WrongTarget:
-    Target.PausedUntil = Now + internal::MinBackoff;
+    Target.PausedUntil = Now + backend::Target::MinBackoff;
     break;
   case AttemptResult::TargetLeft:
   case AttemptResult::Quarantined:
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -13,6 +13,7 @@
 #include "goldcrestnotch/proxy/attempt_plan.hpp"
 #include "goldcrestnotch/proxy/caller_connection.hpp"
 #include "goldcrestnotch/proxy/proxy_context.hpp"
+#include "goldcrestnotch/proxy/replacement_search.hpp"
 #include "goldcrestnotch/stream/event_framer.hpp"
 
 namespace goldcrestnotch::proxy {
@@ -77,8 +78,10 @@
   [[nodiscard]] std::shared_ptr<backend::Target> chooseTarget();
   /// @brief What the request requires of a target that it was not sent to.
   [[nodiscard]] backend::TargetRequest targetRequest() const;
-  /// @brief Whether a stream whose target is silent can go on at another one.
-  [[nodiscard]] bool mayLeaveTarget();
+  /// @brief Picks a target at which a stream whose target is silent could go
+  /// on.
+  /// @return Null if there is none, or if the stream can't go on elsewhere.
+  [[nodiscard]] std::shared_ptr<backend::Target> replacement();
   /// @brief Picks a target of the version that the request goes to.
   /// @param VersionDraw Decides the version while the service moves to another.
   /// @return Null if none is eligible.
@@ -124,8 +127,10 @@
   /// may be due to what it contains.
   [[nodiscard]] bool suspect() const;
   /// @brief Finds out whether a target that sends nothing has ended, and
-  /// returns whether it is to be left.
-  [[nodiscard]] bool observeSilence(Upstream &Remote);
+  /// returns whether it is to be left. It is left only for a target that has
+  /// taken a connection.
+  [[nodiscard]] bool observeSilence(Upstream &Remote,
+                                    ReplacementSearch &Search);
   /// @brief Records how an attempt ended that is not known to be sound.
   void recordEnd(Upstream &Remote, AttemptResult Result);
   /// @brief Records that the target is still running a while after it began to
@@ -170,6 +175,7 @@
   /// The attempt counts as evidence about the version of its target.
   bool EvidenceRecorded = false;
   AttemptState State;
+  Replacement Next; ///< For which a silent target was left.
   std::vector<TargetId> TriedTargets;
   /// Shortest time until a target could get the request; nothing unless a
   /// permit was refused or targets are paused, and no other one was left.
--- a/src/goldcrestnotch/proxy/fwd.hpp
+++ b/src/goldcrestnotch/proxy/fwd.hpp
@@ -7,12 +7,14 @@
 
 struct HeaderNames;
 struct ProxyContext;
+struct Replacement;
 class CallerConnection;
 class Forwarder;
 class TargetConnection;
 class TargetProbe;
 class ConnectionPool;
 class Listener;
+class ReplacementSearch;
 class ShutdownSchedule;
 class SilenceWatch;
 class Upstream;
--- a/src/goldcrestnotch/proxy/proxy_context.hpp
+++ b/src/goldcrestnotch/proxy/proxy_context.hpp
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <list>
@@ -15,6 +16,7 @@
 
 #include "goldcrestnotch/backend/retry_budget.hpp"
 #include "goldcrestnotch/backend/target_set.hpp"
+#include "goldcrestnotch/core/error.hpp"
 #include "goldcrestnotch/escrow/admission_gate.hpp"
 #include "goldcrestnotch/notices/shared_quarantine.hpp"
 #include "goldcrestnotch/proxy/buffer_budget.hpp"
@@ -38,6 +40,9 @@
 
 /// @brief Shared state of the exchanges of a VM.
 struct ProxyContext {
+  /// Limit for opening a connection; targets are in the same region as the VM.
+  static constexpr Millis ConnectTimeout{250};
+
   boost::asio::io_context &Loop;
   HeaderNames Headers;
   backend::TargetSet &Targets;
@@ -94,6 +99,28 @@
     }
   }
 
+  /// @brief Opens a connection to a target. If nothing listens there, the
+  /// target has ended.
+  /// @param Limit Deadline of the request that needs the connection.
+  /// @throws Error with the cause, if the target can't be reached.
+  [[nodiscard]] std::shared_ptr<TargetConnection>
+  openConnection(boost::asio::yield_context Yield,
+                 const backend::Registration &Target, Instant Limit) {
+    try {
+      auto Opened = Connections.connect(
+          Yield, Target,
+          std::min(Limit, DecisionClock::now() + ConnectTimeout));
+      Measured.count("target_connections_total");
+      return Opened;
+    } catch (const Error &Failure) {
+      if (Failure.code() == ConnectionPool::RefusedConnection) {
+        Quarantine.reportEnd(DecisionClock::now(), Target,
+                             notices::EndSign::RefusesConnections);
+      }
+      throw;
+    }
+  }
+
   /// @brief Returns a uniformly distributed random number in [0, 1).
   [[nodiscard]] double draw() {
     return std::uniform_real_distribution<double>{0.0, 1.0}(Random);
--- /dev/null
+++ b/src/goldcrestnotch/proxy/replacement_search.cpp
@@ -0,0 +1,51 @@
+/// @file
+/// Connecting to candidates.
+
+#include "goldcrestnotch/proxy/replacement_search.hpp"
+
+#include <utility>
+
+#include <boost/asio/spawn.hpp>
+
+#include "goldcrestnotch/core/error.hpp"
+#include "goldcrestnotch/telemetry/log.hpp"
+
+namespace goldcrestnotch::proxy {
+
+ReplacementSearch::ReplacementSearch(ProxyContext &Context)
+    : Context{Context}, Search{std::make_shared<State>()} {}
+
+void ReplacementSearch::begin(
+    const std::shared_ptr<backend::Target> &Candidate) {
+  if (std::exchange(Search->Connecting, true)) {
+    return;
+  }
+  boost::asio::spawn(
+      Context.Loop, [Shared = Search, &Context = Context,
+                     Candidate](boost::asio::yield_context Yield) {
+        try {
+          Shared->Found = {Candidate,
+                           Context.openConnection(Yield, Candidate->Registered,
+                                                  Instant::max())};
+        } catch (const Error &Failure) {
+          Candidate->recordFailure(DecisionClock::now());
+          log(LogLevel::Info, "target.replacement_failed",
+              {{"target", Candidate->Registered.Name.str()},
+               {"cause", Failure.code()}});
+        }
+        Shared->Connecting = false;
+      });
+}
+
+bool ReplacementSearch::found() {
+  if (Search->Found.Connection && !Search->Found.Connection->idle()) {
+    Search->Found = {};
+  }
+  return Search->Found.Connection != nullptr;
+}
+
+Replacement ReplacementSearch::take() {
+  return std::exchange(Search->Found, {});
+}
+
+} // namespace goldcrestnotch::proxy
--- a/src/goldcrestnotch/proxy/silence_watch.cpp
+++ b/src/goldcrestnotch/proxy/silence_watch.cpp
@@ -13,7 +13,7 @@
 /// Silence after which a target may be left.
 static constexpr Millis SilenceTimeout{1'600};
 /// Interval between two checks of a target that can't be left yet.
-static constexpr Millis RecheckInterval{200};
+static constexpr Millis RecheckInterval{50};
 
 } // namespace internal
 
--- a/test/platform/planned_stop_test.cpp
+++ b/test/platform/planned_stop_test.cpp
@@ -166,6 +166,25 @@
   EXPECT_TRUE(Running.get().Complete);
 }
 
+TEST_F(PlatformSilentTarget, IsKeptIfTheOtherTakesNoConnection) {
+  constexpr std::uint16_t UnusedPort = 1;
+  other().setAdvertisedPort(UnusedPort);
+  TestFleet.registerReplica(other(), "ready");
+  EXPECT_TRUE(Running.get().Complete);
+}
+
+// A connection that was kept says nothing about its target.
+TEST_F(PlatformSilentTarget, IsKeptIfTheOtherIsReachedByKeptConnectionsOnly) {
+  const int Other = TestFleet.replica(0).runs() == 1 ? 1 : 0;
+  ASSERT_EQ(TestFleet.call({"/order/1", "key-1", "b1"}).Status, 200);
+  ASSERT_EQ(other().runs(), 1U);
+  TestFleet.replicaLink(Other).CurrentMode = standin::FaultyLink::Mode::Stalled;
+  constexpr std::uint16_t UnusedPort = 1;
+  other().setAdvertisedPort(UnusedPort);
+  TestFleet.registerReplica(other(), "ready");
+  EXPECT_TRUE(Running.get().Complete);
+}
+
 TEST_F(PlatformSilentTarget, IsKeptWhileTheVmStops) {
   other().CurrentBehavior = UsersReplica::Behavior::Full;
   TestFleet.daemon().signal(SIGTERM);
