LOST: a stream that was sound is resumed while its parts are suspect

What callers would see: while a part of prompts is suspect, streams that share it and that have run for a while are reset when their target ends under another prompt, though another target could go on.

Cause: while a part is suspect, no request with it is sent again after a lost response. Class: what is held against a group is applied to a member that is known not to be the cause.

--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -391,7 +391,7 @@
     Cause = "target_left";
     return AttemptResult::TargetLeft;
   }
-  if (quarantined()) {
+  if (!ProvenSound && quarantined()) {
     return AttemptResult::Quarantined;
   }
   const auto *ChosenService = Table->service(Service);
@@ -702,8 +702,9 @@
 }
 
 bool Exchange::suspect() const {
-  return Context.Quarantine.judge(DecisionClock::now(), Suspects.all()) !=
-         quarantine::Verdict::Sound;
+  return !ProvenSound &&
+         Context.Quarantine.judge(DecisionClock::now(), Suspects.all()) !=
+             quarantine::Verdict::Sound;
 }
 
 bool Exchange::observeSilence(Upstream &Remote, ReplacementSearch &Search) {
@@ -756,6 +757,7 @@
 
 void Exchange::recordSoundAnswer() {
   if (const auto Key = std::exchange(Open, std::nullopt)) {
+    ProvenSound = true;
     Context.Quarantine.openAnswers().close(*Key);
     Context.Quarantine.reportAnswer(DecisionClock::now(), Suspects);
   }
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -167,6 +167,9 @@
   Instant HeadReceived{}; ///< When the response to it began to arrive.
   /// The request at the target, until the response is known to be sound.
   std::optional<quarantine::OpenAnswers::Key> Open;
+  /// A target has run the request for a while, so nothing that is held against
+  /// its suspects later is due to it.
+  bool ProvenSound = false;
   /// From `AttemptSent` to the response head; for streams, to the first event.
   Millis TimeToFirstByte{0};
   Instant FirstEventTime{}; ///< The epoch if no event has been received.
--- a/test/platform/crashing_prompt_test.cpp
+++ b/test/platform/crashing_prompt_test.cpp
@@ -34,9 +34,10 @@
     }
   }
   /// @brief Sends a chat with a shared part, another one and one of its own.
-  [[nodiscard]] CallResult chat(const char *Part, int Vm) {
+  [[nodiscard]] CallResult chat(const char *Part, int Vm,
+                                const char *Path = "/chat/1") {
     const auto Id = std::to_string(++Number);
-    Call Chat{"/chat/1", "key-1", "a" + Id, "100,60"};
+    Call Chat{Path, "key-1", "a" + Id, "100,60"};
     Chat.PromptParts = std::string{SharedPart} + "," + Part + ",d" + Id + ":20";
     return TestFleet.call(Chat, Vm);
   }
@@ -75,6 +76,32 @@
   EXPECT_GE(Served, 0.9);
 }
 
+// A stream that had run for a while was not resumed while a part that it shares
+// with crashing prompts was suspect.
+TEST_F(PlatformCrashingPrompt, SoundStreamsGoOnWhileTheirPartsAreSuspect) {
+  constexpr int Streams = 30;
+  constexpr int Crashes = 5;
+  for (int I = 0; I < ReplicaCount; ++I) {
+    TestFleet.replica(I).Events = 40;
+    TestFleet.replica(I).EventDelayMs = 60;
+  }
+  std::vector<std::future<CallResult>> Sound;
+  for (int I = 0; I < Streams; ++I) {
+    Sound.push_back(std::async(std::launch::async, [this, I] {
+      return chat(SoundPart, I % VmCount, "/long/1");
+    }));
+  }
+  std::this_thread::sleep_for(
+      Millis{900}); // The answers are known to be sound.
+  for (int I = 0; I < Crashes; ++I) {
+    (void)chat(CrashingPart, I % VmCount, "/once/1");
+    std::this_thread::sleep_for(Millis{120});
+  }
+  for (auto &Stream : Sound) {
+    EXPECT_TRUE(Stream.get().Complete);
+  }
+}
+
 /// @brief What callers see of a crash.
 struct CrashCase {
   const char *Name;
