BUDGET: what the end of a target tells is sent together

With whole requests as suspects each lost response would be told in a datagram of its own to all VMs: a target that hangs for seconds and then restarts would make a VM of a large fleet send tens of thousands at once. Now the end of a run is told in one notice for each 64 suspects, strong and weak ones apart; its time is that of the newest of them. Notices keep their form.

--- a/src/goldcrestnotch/notices/shared_quarantine.cpp
+++ b/src/goldcrestnotch/notices/shared_quarantine.cpp
@@ -3,6 +3,7 @@
 
 #include "goldcrestnotch/notices/shared_quarantine.hpp"
 
+#include <algorithm>
 #include <string>
 
 #include "goldcrestnotch/core/hash.hpp"
@@ -39,6 +40,34 @@
   return "";
 }
 
+/// @brief What the end of one run of a target tells about the requests that it
+/// had not answered. Their suspects are told together, since a target may have
+/// lost many responses.
+struct EndEvidence {
+  std::set<quarantine::CrashSuspect> Strong;
+  std::set<quarantine::CrashSuspect> Weak;
+  Instant Newest{}; ///< When the last one was sent, or its response began.
+
+  void add(const quarantine::UnansweredRequest &Request) {
+    const auto &Own = Request.Suspects;
+    Strong.insert(Own.Request);
+    // All that waited at the target may share parts, but not fingerprints.
+    auto &OfParts = Request.Begun ? Strong : Weak;
+    OfParts.insert(Own.Parts.begin(), Own.Parts.end());
+    Newest = std::max(Newest, Request.Since);
+  }
+};
+
+static void logUnanswered(const quarantine::UnansweredRequest &Request,
+                          EndSign Sign) {
+  log(LogLevel::Warn, "prompt.target_ended",
+      {{"run", static_cast<std::int64_t>(Request.Run.Incarnation)},
+       {"fingerprint", std::to_string(Request.Suspects.Request.Hash)},
+       {"parts", toText(Request.Suspects.Parts)},
+       {"begun", Request.Begun},
+       {"sign", std::string{toText(Sign)}}});
+}
+
 [[nodiscard]] static quarantine::TargetRun
 runOf(const backend::Registration &Target) {
   return {hashOf(Target.Name.str()), Target.Incarnation};
@@ -78,25 +107,33 @@
 void SharedQuarantine::report(
     Instant Now, const std::vector<quarantine::UnansweredRequest> &Unanswered,
     EndSign Sign) {
+  std::map<quarantine::TargetRun, internal::EndEvidence> EvidenceByRun;
   for (const auto &Request : Unanswered) {
-    const auto &Own = Request.Suspects;
-    log(LogLevel::Warn, "prompt.target_ended",
-        {{"run", static_cast<std::int64_t>(Request.Run.Incarnation)},
-         {"fingerprint", std::to_string(Own.Request.Hash)},
-         {"parts", internal::toText(Own.Parts)},
-         {"begun", Request.Begun},
-         {"sign", std::string{internal::toText(Sign)}}});
-    const auto Age = Now - Request.Since;
-    if (Request.Begun) {
-      tell(Now, {Request.Run, Own.all(), Age});
-      continue;
-    }
-    // All that waited at the target may share parts, but not fingerprints.
-    tell(Now, {Request.Run, {Own.Request}, Age});
-    if (!Own.Parts.empty()) {
-      tell(Now, {Request.Run, Own.Parts, Age, quarantine::CrashEvidence::Weak});
+    internal::logUnanswered(Request, Sign);
+    EvidenceByRun[Request.Run].add(Request);
+  }
+  for (const auto &[Ended, Evidence] : EvidenceByRun) {
+    const auto Age = Now - Evidence.Newest;
+    tell(Now, Ended, Age, Evidence.Strong, quarantine::CrashEvidence::Strong);
+    tell(Now, Ended, Age, Evidence.Weak, quarantine::CrashEvidence::Weak);
+  }
+}
+
+void SharedQuarantine::tell(Instant Now, quarantine::TargetRun Ended,
+                            Millis Age,
+                            const std::set<quarantine::CrashSuspect> &Suspects,
+                            quarantine::CrashEvidence Evidence) {
+  CrashNotice Notice{Ended, {}, Age, Evidence};
+  for (const auto &Suspected : Suspects) {
+    Notice.Suspects.push_back(Suspected);
+    if (Notice.Suspects.size() == MaxSuspects) {
+      tell(Now, Notice);
+      Notice.Suspects.clear();
     }
   }
+  if (!Notice.Suspects.empty()) {
+    tell(Now, Notice);
+  }
 }
 
 void SharedQuarantine::tell(Instant Now, const CrashNotice &Notice) {
--- a/src/goldcrestnotch/notices/shared_quarantine.hpp
+++ b/src/goldcrestnotch/notices/shared_quarantine.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "goldcrestnotch/backend/target.hpp"
@@ -81,6 +82,10 @@
               EndSign Sign);
   /// @brief Records evidence of this VM, and tells the other VMs.
   void tell(Instant Now, const CrashNotice &Notice);
+  /// @brief Tells of suspects, as many in a notice as fit.
+  void tell(Instant Now, quarantine::TargetRun Ended, Millis Age,
+            const std::set<quarantine::CrashSuspect> &Suspects,
+            quarantine::CrashEvidence Evidence);
 
   NoticeSocket &Socket;
   Metrics &Counters;
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -204,10 +204,11 @@
   if (Prompt) {
     Suspects.Parts = Prompt->SharedParts;
   }
-  if (!quarantined()) {
+  const auto Reason = quarantineCause();
+  if (Reason.empty()) {
     return true;
   }
-  reject(503, Cause,
+  reject(503, Reason,
          Context.Quarantine.deadline(Suspects.all()) - DecisionClock::now());
   return false;
 }
@@ -391,7 +392,8 @@
     Cause = "target_left";
     return AttemptResult::TargetLeft;
   }
-  if (!ProvenSound && quarantined()) {
+  if (const auto Reason = quarantineCause(); !Reason.empty()) {
+    Cause = std::string{Reason};
     return AttemptResult::Quarantined;
   }
   const auto *ChosenService = Table->service(Service);
@@ -688,17 +690,16 @@
   return Usable ? Other : nullptr;
 }
 
-bool Exchange::quarantined() {
+std::string_view Exchange::quarantineCause() const {
   const auto Now = DecisionClock::now();
   const auto Refuses = [&](const notices::SharedQuarantine::Suspects &Own) {
     return Context.Quarantine.judge(Now, Own) == quarantine::Verdict::Refused;
   };
-  if (!Refuses(Suspects.all())) {
-    return false;
+  if (ProvenSound || !Refuses(Suspects.all())) {
+    return {};
   }
-  Cause = Refuses({Suspects.Request}) ? "request_quarantined"
-                                      : "prompt_quarantined";
-  return true;
+  return Refuses({Suspects.Request}) ? "request_quarantined"
+                                     : "prompt_quarantined";
 }
 
 bool Exchange::suspect() const {
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -121,8 +121,9 @@
   /// @brief Rejects the request if it is in quarantine.
   /// @return False if it has been rejected.
   [[nodiscard]] bool passQuarantine();
-  /// @brief Whether the request would crash a target; `Cause` then says why.
-  [[nodiscard]] bool quarantined();
+  /// @brief Why the request must not be sent: it would crash a target.
+  /// @return An empty text if it may be sent.
+  [[nodiscard]] std::string_view quarantineCause() const;
   /// @brief Whether the request must not be sent again, since the lost response
   /// may be due to what it contains.
   [[nodiscard]] bool suspect() const;
--- a/test/platform/crashing_prompt_test.cpp
+++ b/test/platform/crashing_prompt_test.cpp
@@ -86,6 +86,7 @@
     TestFleet.replica(I).EventDelayMs = 60;
   }
   std::vector<std::future<CallResult>> Sound;
+  Sound.reserve(Streams);
   for (int I = 0; I < Streams; ++I) {
     Sound.push_back(std::async(std::launch::async, [this, I] {
       return chat(SoundPart, I % VmCount, "/long/1");
