Quarantine: the number of suspicions has a bound

Each request that a target had not answered when it ended is now a suspect, on all VMs, for two minutes. A fleet whose targets end in series would fill the memory of small VMs. Beyond 16,384 suspects those under which one target has ended are forgotten; a request that comes again is found all the same (CrashQuarantine.CrashingRequestIsKnownAmongManyThatWaited).

--- a/src/goldcrestnotch/quarantine/crash_quarantine.cpp
+++ b/src/goldcrestnotch/quarantine/crash_quarantine.cpp
@@ -94,6 +94,15 @@
   return Answered.contains(Suspected) || AnsweredEarlier.contains(Suspected);
 }
 
+void CrashQuarantine::makeRoom() {
+  if (Suspicions.size() < MaxSuspicions) {
+    return;
+  }
+  std::erase_if(Suspicions, [](const auto &Entry) {
+    return !Entry.second.Adopted && Entry.second.Crashes.size() < 2;
+  });
+}
+
 void CrashQuarantine::add(Suspicion &Held, Instant When, TargetRun Ended,
                           CrashEvidence Evidence) {
   if (Held.Crashes.size() < MaxCrashesKept) {
@@ -125,6 +134,9 @@
                               CrashEvidence Evidence) {
   std::vector<CrashSuspect> Result;
   for (const auto Suspected : Suspects) {
+    if (!Suspicions.contains(Suspected)) {
+      makeRoom();
+    }
     auto &Held = Suspicions[Suspected];
     add(Held, When, Ended, Evidence);
     Held.LastCrash = Now;
@@ -132,7 +144,7 @@
       continue;
     }
     const auto Refusal =
-        (answeredBefore(Suspected) ? MinRefusalOfKnownPart : MinRefusal) *
+        (answeredBefore(Suspected) ? MinRefusalOfKnown : MinRefusal) *
         (1 << std::min(Held.Relapses, internal::MaxRefusalDoublings));
     ++Held.Relapses;
     Held.Deadline = Now + std::min(Refusal, MaxRefusal);
--- a/src/goldcrestnotch/quarantine/crash_quarantine.hpp
+++ b/src/goldcrestnotch/quarantine/crash_quarantine.hpp
@@ -57,11 +57,14 @@
   static constexpr Millis MinRefusal{300'000};
   /// The same for a suspect that has been answered before, such as a part that
   /// all prompts of a service share.
-  static constexpr Millis MinRefusalOfKnownPart{2'000};
+  static constexpr Millis MinRefusalOfKnown{2'000};
   /// Crashes within this time count once, since they may have another cause in
   /// common, such as a rack that fails.
   static constexpr Millis CorrelationTime{100};
   static constexpr Millis MaxRefusal{3'600'000};
+  /// Number of suspects with something held against them. If there are more,
+  /// those under which only one target has ended are forgotten.
+  static constexpr std::size_t MaxSuspicions = 16'384;
   /// Suspicions are forgotten after this time without a crash.
   static constexpr Millis SuspicionTime{120'000};
   /// For this long after a suspect was cleared, older reports of other VMs that
@@ -116,6 +119,8 @@
   void remember(CrashSuspect Suspected);
   /// @brief Whether requests with a suspect have been answered lately.
   [[nodiscard]] bool answeredBefore(CrashSuspect Suspected) const;
+  /// @brief Makes room for a suspect that nothing is held against yet.
+  void makeRoom();
   /// @brief Adds a crash to what is held against a suspect.
   static void add(Suspicion &Held, Instant When, TargetRun Ended,
                   CrashEvidence Evidence);
--- a/test/goldcrestnotch/quarantine/crash_quarantine_test.cpp
+++ b/test/goldcrestnotch/quarantine/crash_quarantine_test.cpp
@@ -72,6 +72,17 @@
   EXPECT_NE(Quarantine.judge(Start, SoundChat), Verdict::Refused);
 }
 
+TEST(CrashQuarantine, CrashingRequestIsKnownAmongManyThatWaited) {
+  CrashQuarantine Quarantine;
+  const std::vector<CrashSuspect> CrashingRequest{{4}};
+  crash(Quarantine, 2, CrashingRequest);
+  for (std::uint64_t I = 0; I < 2 * CrashQuarantine::MaxSuspicions; ++I) {
+    crash(Quarantine, 1, {{1'000 + I}});
+  }
+  crash(Quarantine, 1, CrashingRequest, 102);
+  EXPECT_EQ(Quarantine.judge(Start, CrashingRequest), Verdict::Refused);
+}
+
 TEST(CrashQuarantine, OneTargetThatBreaksOffOftenIsNoEvidence) {
   CrashQuarantine Quarantine;
   for (int I = 0; I < 10; ++I) {
@@ -94,9 +105,9 @@
   (void)Quarantine.observeAnswer(Start, SoundPrompt);
   crash(Quarantine, 3, SoundPrompt);
   EXPECT_EQ(Quarantine.judge(Start, SoundPrompt), Verdict::Refused);
-  EXPECT_EQ(Quarantine.judge(Start + CrashQuarantine::MinRefusalOfKnownPart,
-                             SoundPrompt),
-            Verdict::Suspect);
+  EXPECT_EQ(
+      Quarantine.judge(Start + CrashQuarantine::MinRefusalOfKnown, SoundPrompt),
+      Verdict::Suspect);
 }
 
 TEST(CrashQuarantine, PartThatIsAnsweredInBetweenIsNeverRefused) {
