LOST: a target that closes the new connection is paused like one that takes none

A target whose connections are all in use resets new ones. Now such a candidate is paused, and the line target.replacement_failed says why.

Evidence: PlatformSilentTarget.IsKeptIfTheOtherResetsConnections; the code before never paused the candidate and logged nothing.

--- a/src/goldcrestnotch/proxy/replacement_search.cpp
+++ b/src/goldcrestnotch/proxy/replacement_search.cpp
@@ -28,20 +28,26 @@
                            Context.openConnection(Yield, Candidate->Registered,
                                                   Instant::max())};
         } catch (const Error &Failure) {
-          Candidate->recordFailure(DecisionClock::now());
-          log(LogLevel::Info, "target.replacement_failed",
-              {{"target", Candidate->Registered.Name.str()},
-               {"cause", Failure.code()}});
+          fail(*Candidate, Failure.code());
         }
         Shared->Connecting = false;
       });
 }
 
 bool ReplacementSearch::found() {
-  if (Search->Found.Connection && !Search->Found.Connection->idle()) {
-    Search->Found = {};
+  auto &Found = Search->Found;
+  if (Found.Connection && !Found.Connection->idle()) {
+    fail(*Found.Target, "closed");
+    Found = {};
   }
-  return Search->Found.Connection != nullptr;
+  return Found.Connection != nullptr;
+}
+
+void ReplacementSearch::fail(backend::Target &Candidate,
+                             const std::string &Cause) {
+  Candidate.recordFailure(DecisionClock::now());
+  log(LogLevel::Info, "target.replacement_failed",
+      {{"target", Candidate.Registered.Name.str()}, {"cause", Cause}});
 }
 
 Replacement ReplacementSearch::take() {
--- a/src/goldcrestnotch/proxy/replacement_search.hpp
+++ b/src/goldcrestnotch/proxy/replacement_search.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <memory>
+#include <string>
 
 #include "goldcrestnotch/backend/target.hpp"
 #include "goldcrestnotch/proxy/proxy_context.hpp"
@@ -26,7 +27,8 @@
   explicit ReplacementSearch(ProxyContext &Context);
 
   /// @brief Begins to connect to a candidate, unless a connection is being
-  /// opened. A candidate that can't be reached is paused.
+  /// opened. A candidate that can't be reached, or that closes the connection
+  /// before it is taken, is paused.
   void begin(const std::shared_ptr<backend::Target> &Candidate);
   /// @brief Whether a connection is open and has not been taken.
   [[nodiscard]] bool found();
@@ -39,6 +41,9 @@
     Replacement Found;
   };
 
+  /// @brief Pauses a candidate.
+  static void fail(backend::Target &Candidate, const std::string &Cause);
+
   ProxyContext &Context;
   std::shared_ptr<State> Search; ///< Shared with the connecting coroutine.
 };
--- a/test/platform/planned_stop_test.cpp
+++ b/test/platform/planned_stop_test.cpp
@@ -173,6 +173,15 @@
   EXPECT_TRUE(Running.get().Complete);
 }
 
+TEST_F(PlatformSilentTarget, IsKeptIfTheOtherResetsConnections) {
+  const int Other = TestFleet.replica(0).runs() == 1 ? 1 : 0;
+  TestFleet.replicaLink(Other).CurrentMode = standin::FaultyLink::Mode::Refuse;
+  EXPECT_TRUE(Running.get().Complete);
+  EXPECT_EQ(other().runs(), 0U);
+  const auto &Output = TestFleet.daemon().output();
+  EXPECT_NE(Output.find("target.replacement_failed"), std::string::npos);
+}
+
 // A connection that was kept says nothing about its target.
 TEST_F(PlatformSilentTarget, IsKeptIfTheOtherIsReachedByKeptConnectionsOnly) {
   const int Other = TestFleet.replica(0).runs() == 1 ? 1 : 0;
