Proxy: a request is identified only where its suspects matter

The fingerprint was computed for each request, with several allocations, also at VMs that refuse most of theirs. Now it is computed once something is held against any suspect, or the request is sent, and without an allocation.

--- a/src/goldcrestnotch/core/hash.cpp
+++ b/src/goldcrestnotch/core/hash.cpp
@@ -35,9 +35,13 @@
   return XXH3_64bits(Text.data(), Text.size());
 }
 
+std::uint64_t hashOf(std::string_view Text, std::uint64_t Seed) noexcept {
+  return XXH3_64bits_withSeed(Text.data(), Text.size(), Seed);
+}
+
 std::uint64_t rendezvous(std::string_view Key,
                          std::string_view Candidate) noexcept {
-  return XXH3_64bits_withSeed(Candidate.data(), Candidate.size(), hashOf(Key));
+  return hashOf(Candidate, hashOf(Key));
 }
 
 std::string digestOf(std::string_view Text) {
--- a/src/goldcrestnotch/core/hash.hpp
+++ b/src/goldcrestnotch/core/hash.hpp
@@ -12,6 +12,11 @@
 /// @brief The 64-bit hash of a text. It is the same in every process.
 [[nodiscard]] std::uint64_t hashOf(std::string_view Text) noexcept;
 
+/// @brief The 64-bit hash of a text with a seed, such as the hash of what comes
+/// before it.
+[[nodiscard]] std::uint64_t hashOf(std::string_view Text,
+                                   std::uint64_t Seed) noexcept;
+
 /// @brief The score of a candidate for a key in rendezvous hashing. The
 /// candidate with the highest score is chosen.
 [[nodiscard]] std::uint64_t rendezvous(std::string_view Key,
--- a/src/goldcrestnotch/notices/shared_quarantine.hpp
+++ b/src/goldcrestnotch/notices/shared_quarantine.hpp
@@ -35,6 +35,8 @@
   SharedQuarantine(NoticeSocket &Socket, Metrics &Counters)
       : Socket{Socket}, Counters{Counters} {}
 
+  /// @brief Whether every request may be sent.
+  [[nodiscard]] bool empty() const noexcept { return Quarantine.empty(); }
   [[nodiscard]] quarantine::Verdict judge(Instant Now,
                                           const Suspects &Own) const {
     return Quarantine.judge(Now, Own);
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -194,22 +194,27 @@
   return true;
 }
 
-bool Exchange::passQuarantine() {
-  const auto &Request = Caller.request();
-  Suspects.Request = quarantine::fingerprint(
-      {view(Request.method_string()), view(Request[wire::field::host]),
-       view(Request.target()),
-       Workspace != nullptr ? Workspace->Name.str() : std::string_view{},
-       Request.body()});
-  if (Prompt) {
-    Suspects.Parts = Prompt->SharedParts;
+void Exchange::identify() {
+  if (Suspects) {
+    return;
   }
+  const auto &Request = Caller.request();
+  Suspects = {
+      quarantine::fingerprint(
+          {view(Request.method_string()), view(Request[wire::field::host]),
+           view(Request.target()),
+           Workspace != nullptr ? Workspace->Name.str() : std::string_view{},
+           Request.body()}),
+      Prompt ? Prompt->SharedParts : std::vector<quarantine::CrashSuspect>{}};
+}
+
+bool Exchange::passQuarantine() {
   const auto Reason = quarantineCause();
   if (Reason.empty()) {
     return true;
   }
   reject(503, Reason,
-         Context.Quarantine.deadline(Suspects.all()) - DecisionClock::now());
+         Context.Quarantine.deadline(Suspects->all()) - DecisionClock::now());
   return false;
 }
 
@@ -415,7 +420,8 @@
   AttemptSent = DecisionClock::now();
   TimeToFirstByte = Millis{0};
   EvidenceRecorded = false;
-  Open = Context.Quarantine.open(AttemptSent, Target->Registered, Suspects);
+  identify();
+  Open = Context.Quarantine.open(AttemptSent, Target->Registered, *Suspects);
   Remote.send(Deadline);
   auto Result = AttemptResult::ResponseLost;
   {
@@ -690,22 +696,29 @@
   return Usable ? Other : nullptr;
 }
 
-std::string_view Exchange::quarantineCause() const {
+std::string_view Exchange::quarantineCause() {
+  if (ProvenSound || Context.Quarantine.empty()) {
+    return {};
+  }
+  identify();
   const auto Now = DecisionClock::now();
   const auto Refuses = [&](const notices::SharedQuarantine::Suspects &Own) {
     return Context.Quarantine.judge(Now, Own) == quarantine::Verdict::Refused;
   };
-  if (ProvenSound || !Refuses(Suspects.all())) {
+  if (!Refuses(Suspects->all())) {
     return {};
   }
-  return Refuses({Suspects.Request}) ? "request_quarantined"
-                                     : "prompt_quarantined";
+  return Refuses({Suspects->Request}) ? "request_quarantined"
+                                      : "prompt_quarantined";
 }
 
-bool Exchange::suspect() const {
-  return !ProvenSound &&
-         Context.Quarantine.judge(DecisionClock::now(), Suspects.all()) !=
-             quarantine::Verdict::Sound;
+bool Exchange::suspect() {
+  if (ProvenSound || Context.Quarantine.empty()) {
+    return false;
+  }
+  identify();
+  return Context.Quarantine.judge(DecisionClock::now(), Suspects->all()) !=
+         quarantine::Verdict::Sound;
 }
 
 bool Exchange::observeSilence(Upstream &Remote, ReplacementSearch &Search) {
@@ -747,7 +760,7 @@
   }
   if (Remote.brokenOff() && Remote.headReceived()) {
     Context.Quarantine.openAnswers().close(*Key);
-    Context.Quarantine.reportCrash(Now, Remote.target().Registered, Suspects);
+    Context.Quarantine.reportCrash(Now, Remote.target().Registered, *Suspects);
     return;
   }
   Context.Quarantine.openAnswers().lose(Now, *Key);
@@ -760,7 +773,7 @@
   if (const auto Key = std::exchange(Open, std::nullopt)) {
     ProvenSound = true;
     Context.Quarantine.openAnswers().close(*Key);
-    Context.Quarantine.reportAnswer(DecisionClock::now(), Suspects);
+    Context.Quarantine.reportAnswer(DecisionClock::now(), *Suspects);
   }
 }
 
@@ -969,7 +982,8 @@
        {"workspace", Workspace == nullptr ? "" : Workspace->Name.str()},
        {"status", static_cast<std::int64_t>(ResponseStatus)},
        {"cause", Cause},
-       {"fingerprint", std::to_string(Suspects.Request.Hash)},
+       {"fingerprint",
+        Suspects ? std::to_string(Suspects->Request.Hash) : std::string{}},
        {"sent", static_cast<std::int64_t>(State.Sent)},
        {"unreachable", static_cast<std::int64_t>(State.Unreachable)},
        {"target", TriedTargets.empty() ? "" : TriedTargets.back().str()},
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -118,15 +118,17 @@
               std::optional<Millis> RetryAfter = std::nullopt);
   /// @brief Records the time of a read that completed events with an id.
   void recordEventTimes();
+  /// @brief Finds the suspects of the request, unless they are known.
+  void identify();
   /// @brief Rejects the request if it is in quarantine.
   /// @return False if it has been rejected.
   [[nodiscard]] bool passQuarantine();
   /// @brief Why the request must not be sent: it would crash a target.
   /// @return An empty text if it may be sent.
-  [[nodiscard]] std::string_view quarantineCause() const;
+  [[nodiscard]] std::string_view quarantineCause();
   /// @brief Whether the request must not be sent again, since the lost response
   /// may be due to what it contains.
-  [[nodiscard]] bool suspect() const;
+  [[nodiscard]] bool suspect();
   /// @brief Finds out whether a target that sends nothing has ended, and
   /// returns whether it is to be left. It is left only for a target that has
   /// taken a connection.
@@ -156,8 +158,10 @@
   const routing::Workspace *Workspace = nullptr; ///< Null without a valid key.
   routing::ServiceId Service;
   std::optional<PromptInfo> Prompt;
-  quarantine::RequestSuspects Suspects; ///< Known once it is authenticated.
-  Tokens ReservedTokens;                ///< Zero if nothing is reserved.
+  /// Known once something is held against any suspect, or the request is sent:
+  /// a VM that is crowded refuses most requests before.
+  std::optional<quarantine::RequestSuspects> Suspects;
+  Tokens ReservedTokens; ///< Zero if nothing is reserved.
   std::int64_t TokensPerEvent = 1;
   Instant Deadline{}; ///< When the caller must have the whole response.
   std::string StreamContentType; ///< As stated to the caller.
--- a/src/goldcrestnotch/quarantine/crash_quarantine.hpp
+++ b/src/goldcrestnotch/quarantine/crash_quarantine.hpp
@@ -71,6 +71,8 @@
   /// it is quarantined are ignored.
   static constexpr Millis ClearanceTime{30'000};
 
+  /// @brief Whether nothing is held against any suspect.
+  [[nodiscard]] bool empty() const noexcept { return Suspicions.empty(); }
   /// @brief Judges a request by its suspects.
   [[nodiscard]] Verdict judge(Instant Now,
                               std::span<const CrashSuspect> Suspects) const;
--- a/src/goldcrestnotch/quarantine/crash_suspect.cpp
+++ b/src/goldcrestnotch/quarantine/crash_suspect.cpp
@@ -3,21 +3,17 @@
 
 #include "goldcrestnotch/quarantine/crash_suspect.hpp"
 
-#include <string>
-
 #include "goldcrestnotch/core/hash.hpp"
 
 namespace goldcrestnotch::quarantine {
 
-CrashSuspect fingerprint(const RequestIdentity &Source) {
-  // Line ends separate the fields: only a body can contain one.
-  std::string Text;
-  for (const auto Field :
-       {Source.Method, Source.Host, Source.Path, Source.Workspace}) {
-    Text += Field;
-    Text += '\n';
+CrashSuspect fingerprint(const RequestIdentity &Source) noexcept {
+  std::uint64_t Hash = 0;
+  for (const auto Field : {Source.Method, Source.Host, Source.Path,
+                           Source.Workspace, Source.Body}) {
+    Hash = hashOf(Field, Hash);
   }
-  return {hashOf(Text + std::to_string(hashOf(Source.Body)))};
+  return {Hash};
 }
 
 std::vector<CrashSuspect> RequestSuspects::all() const {
--- a/src/goldcrestnotch/quarantine/crash_suspect.hpp
+++ b/src/goldcrestnotch/quarantine/crash_suspect.hpp
@@ -27,7 +27,7 @@
 };
 
 /// @brief The suspect that stands for a whole request.
-[[nodiscard]] CrashSuspect fingerprint(const RequestIdentity &Source);
+[[nodiscard]] CrashSuspect fingerprint(const RequestIdentity &Source) noexcept;
 
 /// @brief All suspects of one request.
 struct RequestSuspects {
