Tests: the reset of the other target's connection is noticed before the stream goes on

Traced to the test: the silence of the stream counts from its first event, a new connection to the other target is opened after 1.6 s, and its reset is noticed by the next check 50 ms later, at 1.65 s, which is when the second event arrives. If the event comes first, the stream ends without the line that the test looks for; the daemon did nothing wrong.

The silence before the second event is now 1.9 s, so five checks come before the event, and the line is waited for while the log is read. All that was required is required still, and the target is silent for longer.

--- a/test/platform/planned_stop_test.cpp
+++ b/test/platform/planned_stop_test.cpp
@@ -176,10 +176,13 @@
 TEST_F(PlatformSilentTarget, IsKeptIfTheOtherResetsConnections) {
   const int Other = TestFleet.replica(0).runs() == 1 ? 1 : 0;
   TestFleet.replicaLink(Other).CurrentMode = standin::FaultyLink::Mode::Refuse;
+  silent().EventDelayMs = 1'900; // The reset is noticed at the next check.
   EXPECT_TRUE(Running.get().Complete);
   EXPECT_EQ(other().runs(), 0U);
-  const auto &Output = TestFleet.daemon().output();
-  EXPECT_NE(Output.find("target.replacement_failed"), std::string::npos);
+  EXPECT_TRUE(TestFleet.eventually([&] {
+    const auto Output = TestFleet.daemon().output();
+    return Output.find("target.replacement_failed") != std::string::npos;
+  }));
 }
 
 // A connection that was kept says nothing about its target.
