--- a/src/goldcrestnotch/core/instant.hpp
+++ b/src/goldcrestnotch/core/instant.hpp
@@ -33,4 +33,10 @@
 /// log assigns it to a record, so all readers of the record see the same time.
 using LogTime = std::chrono::sys_time<Millis>;
 
+/// @brief Converts a deadline to the clock of Asio's timers.
+[[nodiscard]] inline std::chrono::steady_clock::time_point
+toSteadyTime(Instant Deadline) noexcept {
+  return std::chrono::steady_clock::time_point{Deadline.time_since_epoch()};
+}
+
 } // namespace goldcrestnotch
--- a/src/goldcrestnotch/escrow/admission_gate.hpp
+++ b/src/goldcrestnotch/escrow/admission_gate.hpp
@@ -211,8 +211,7 @@
   /// deadline of one request wakes all of them, since they share a timer.
   void waitForChange(boost::asio::yield_context Yield, Instant Deadline) {
     boost::asio::steady_timer Limit{Changed.get_executor()};
-    Limit.expires_at(
-        boost::asio::steady_timer::time_point{Deadline.time_since_epoch()});
+    Limit.expires_at(toSteadyTime(Deadline));
     Limit.async_wait([this](const boost::system::error_code &Cancelled) {
       if (!Cancelled) {
         notifyWaiters();
--- a/src/goldcrestnotch/http/session.cpp
+++ b/src/goldcrestnotch/http/session.cpp
@@ -70,8 +70,7 @@
   }
 
   void setDeadline(Instant Deadline) {
-    Socket->expires_at(
-        std::chrono::steady_clock::time_point{Deadline.time_since_epoch()});
+    Socket->expires_at(toSteadyTime(Deadline));
   }
 
   void connect(asio::yield_context Yield, Instant Deadline) {
--- a/src/goldcrestnotch/proxy/target_connection.hpp
+++ b/src/goldcrestnotch/proxy/target_connection.hpp
@@ -26,12 +26,6 @@
     boost::beast::basic_stream<boost::asio::ip::tcp,
                                boost::asio::io_context::executor_type>;
 
-/// @brief Converts a deadline to the clock that Asio uses.
-[[nodiscard]] inline std::chrono::steady_clock::time_point
-toSteadyTime(Instant Deadline) noexcept {
-  return std::chrono::steady_clock::time_point{Deadline.time_since_epoch()};
-}
-
 /// @brief One connection to a target.
 class TargetConnection {
 public:
