LOST: requests that arrived before the idle timeout are read by a late loop

Callers whose request had arrived whole lost their connection without an answer or a refusal, at a VM whose event loop was late (a large configuration is applied in one turn, a crowded VM, a pause).

Cause: a turn of the loop finds at most 128 sockets that are ready, but all timers that have expired. Idle and head timers that expired during a long turn closed connections before the bytes that waited there were read. Class: a limit that counts the loop's own delay against its peer, as SilenceWatch did for targets.

StreamTimeout closes a connection by a second timer: the kernel reports sockets in the order in which they became ready, so what was ready at the first timer is handled before the second one. It also ends reads of callers that send without a pause, which the timers of Beast do not, so the extra check of the body's deadline is gone.

--- a/src/goldcrestnotch/http/fwd.hpp
+++ b/src/goldcrestnotch/http/fwd.hpp
@@ -13,5 +13,6 @@
 class Server;
 class Client;
 class ReadBuffer;
+template <typename Stream> class StreamTimeout;
 
 } // namespace goldcrestnotch::http
--- a/src/goldcrestnotch/proxy/caller_connection.cpp
+++ b/src/goldcrestnotch/proxy/caller_connection.cpp
@@ -75,7 +75,7 @@
   (void)RequestShare.resize(0);
   Buffer.admit(Limits.MaxHeaderBytes);
   if (Buffer.size() == 0) {
-    Socket.expires_after(Limits.IdleTimeout);
+    ReadTimeout.expiresAt(DecisionClock::now() + Limits.IdleTimeout);
     const auto Count = Socket.async_read_some(
         Buffer.prepare(internal::FirstReadBytes), Yield[Failure]);
     Buffer.commit(Count);
@@ -87,14 +87,13 @@
   Parser Received;
   Received.header_limit(Limits.MaxHeaderBytes);
   Received.body_limit(Limits.MaxBodyBytes);
-  Socket.expires_after(Limits.HeaderTimeout);
+  ReadTimeout.expiresAt(DecisionClock::now() + Limits.HeaderTimeout);
   wire::async_read_header(Socket, Buffer, Received, Yield[Failure]);
   Arrival = Delay.arrival(DecisionClock::now(), std::exchange(First, false));
-  const auto Deadline = DecisionClock::now() + Limits.IdleTimeout;
-  Socket.expires_at(toSteadyTime(Deadline));
-  auto Result = Failure ? internal::resultOf(Failure)
-                        : readBody(Yield, Received, Deadline);
-  Socket.expires_never();
+  ReadTimeout.expiresAt(DecisionClock::now() + Limits.IdleTimeout);
+  auto Result =
+      Failure ? internal::resultOf(Failure) : readBody(Yield, Received);
+  ReadTimeout.expiresNever();
   if (Interrupted && Result == ReadResult::Closed) {
     Result = ReadResult::ShuttingDown;
   }
@@ -122,13 +121,9 @@
 }
 
 ReadResult CallerConnection::readBody(asio::yield_context Yield,
-                                      Parser &Received, Instant Deadline) {
+                                      Parser &Received) {
   boost::system::error_code Failure;
   while (!Failure && !Received.is_done()) {
-    // The timer of the socket only ends reads that wait for bytes.
-    if (DecisionClock::now() >= Deadline) {
-      return ReadResult::Closed;
-    }
     wire::async_read_some(Socket, Buffer, Received, Yield[Failure]);
     if (!RequestShare.resize(internal::BodyCopies *
                              Received.get().body().size())) {
--- a/src/goldcrestnotch/proxy/caller_connection.hpp
+++ b/src/goldcrestnotch/proxy/caller_connection.hpp
@@ -15,6 +15,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "goldcrestnotch/http/read_buffer.hpp"
+#include "goldcrestnotch/http/stream_timeout.hpp"
 #include "goldcrestnotch/proxy/buffer_budget.hpp"
 #include "goldcrestnotch/proxy/loop_delay.hpp"
 #include "goldcrestnotch/proxy/target_connection.hpp"
@@ -106,9 +107,10 @@
 
   /// @brief Reads the body of a request whose head has been read.
   [[nodiscard]] ReadResult readBody(boost::asio::yield_context Yield,
-                                    Parser &Received, Instant Deadline);
+                                    Parser &Received);
 
   TcpStream Socket;
+  http::StreamTimeout<TcpStream> ReadTimeout{Socket};
   http::ReadBuffer Buffer;
   WireRequest Request;
   BufferBudget::Share RequestShare; ///< Of the body of `Request`.
--- a/test/goldcrestnotch/proxy/caller_connection_test.cpp
+++ b/test/goldcrestnotch/proxy/caller_connection_test.cpp
@@ -3,10 +3,12 @@
 
 #include "goldcrestnotch/proxy/caller_connection.hpp"
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 #include <thread>
+#include <vector>
 
 #include "raw_peer.hpp"
 
@@ -140,6 +142,35 @@
   Writer.join();
 }
 
+// A turn of the loop finds 128 sockets that are ready, and all timers.
+TEST_F(CallerConnectionTest, LateLoopReadsWhatArrivedBeforeTheIdleTimeout) {
+  constexpr int CallerCount = 400;
+  Limits.IdleTimeout = Millis{300};
+  std::vector<std::shared_ptr<CallerConnection>> Callers;
+  std::vector<tcp::socket> Senders;
+  int Completed = 0;
+  for (int I = 0; I < CallerCount; ++I) {
+    auto Reader = std::make_shared<CallerConnection>(Loop, LargeBudget);
+    Senders.emplace_back(Loop).connect(Acceptor.local_endpoint());
+    Acceptor.accept(Reader->stream().socket());
+    boost::asio::spawn(Loop, [&, Reader](boost::asio::yield_context Yield) {
+      const auto Result = Reader->read(Yield, Limits, LoopDelay{});
+      Completed += Result == ReadResult::Complete ? 1 : 0;
+    });
+  }
+  boost::asio::steady_timer EarlierTimer{Loop, Millis{50}};
+  EarlierTimer.async_wait([](const boost::system::error_code &) {});
+  (void)Loop.run_for(Millis{20});
+  std::this_thread::sleep_for(Millis{100});
+  for (auto &Each : Senders) {
+    boost::asio::write(Each, boost::asio::buffer(requestOf(8)));
+  }
+  std::this_thread::sleep_for(Millis{400});
+  Loop.restart();
+  Loop.run();
+  EXPECT_EQ(Completed, CallerCount);
+}
+
 TEST_F(CallerConnectionTest, ChunkExtensionsAndTrailersAreNoFault) {
   boost::asio::write(Sender,
                      boost::asio::buffer(ChunkedHead +
--- a/test/platform/fleet.hpp
+++ b/test/platform/fleet.hpp
@@ -148,7 +148,7 @@
                  {{"maxHeaderBytes", 16'384},
                   {"maxBodyBytes", 100'000},
                   {"headerTimeoutMs", 3'000},
-                  {"idleTimeoutMs", 15'000}}},
+                  {"idleTimeoutMs", IdleTimeoutMs}}},
                 {"tenants", {{{"name", "stall"}, {"apiKeys", Keys}}}}};
     if (PrepaidTokens != Unlimited) {
       Config["tenants"][0]["prepaid"] = PrepaidTokens;
@@ -276,6 +276,7 @@
 
   const int GraceSeconds;     ///< Time between SIGTERM and the kill.
   int RouteTimeoutMs = 4'000; ///< Of all routes, from the next version on.
+  int IdleTimeoutMs = 15'000; ///< Of callers, from the next version on.
   /// Never destroyed: its destruction would unwind coroutines that are still
   /// suspended at the end of a test, and these refer to destroyed members.
   boost::asio::io_context &Context = *new boost::asio::io_context;
