Proxy: connections that were opened in time are used by a late loop

A VM whose loop was late by more than 250 ms took targets for unreachable whose connections had been opened meanwhile: it paused them, refused requests with 503, and ended streams that could have gone on there.

The limit for opening a connection ran before the loop saw that the connection was open. StreamTimeout limits it now.

--- a/src/goldcrestnotch/proxy/target_connection.cpp
+++ b/src/goldcrestnotch/proxy/target_connection.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "goldcrestnotch/core/error.hpp"
+#include "goldcrestnotch/http/stream_timeout.hpp"
 
 namespace goldcrestnotch::proxy {
 
@@ -58,7 +59,8 @@
   boost::system::error_code Failure;
   const auto Address = asio::ip::make_address(To.Endpoint.Address, Failure);
   if (!Failure) {
-    Connection->Socket.expires_at(toSteadyTime(Deadline));
+    http::StreamTimeout Timeout{Connection->Socket};
+    Timeout.expiresAt(Deadline);
     Connection->Socket.async_connect(tcp::endpoint{Address, To.Endpoint.Port},
                                      Yield[Failure]);
   }
--- a/test/goldcrestnotch/proxy/target_connection_test.cpp
+++ b/test/goldcrestnotch/proxy/target_connection_test.cpp
@@ -3,8 +3,14 @@
 
 #include "goldcrestnotch/proxy/target_connection.hpp"
 
+#include <thread>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <gtest/gtest.h>
 
+#include "goldcrestnotch/core/error.hpp"
+
 namespace goldcrestnotch::proxy {
 namespace {
 
@@ -21,8 +27,21 @@
     return Pool.idleCount(Target);
   }
 
+  /// @brief Begins a connection to the target.
+  void connect(ConnectionPool &Pool, Instant Deadline) {
+    boost::asio::spawn(Loop, [&, Deadline](boost::asio::yield_context Yield) {
+      try {
+        (void)Pool.connect(Yield, Target, Deadline);
+        ++Connected;
+      } catch (const Error &) {
+        // The test counts the connections.
+      }
+    });
+  }
+
   boost::asio::io_context Loop;
   backend::Registration Target;
+  int Connected = 0;
 };
 
 TEST_F(ConnectionPoolTest, AllVmsTogetherKeepNoMoreThanTheTargetAccepts) {
@@ -38,5 +57,40 @@
   EXPECT_GT(kept(9, 0), 1U);
 }
 
+// A turn of the loop finds 128 sockets that are ready, and all timers.
+TEST_F(ConnectionPoolTest, LateLoopKeepsConnectionsThatWereOpenedInTime) {
+  constexpr int ConnectionCount = 400;
+  using boost::asio::ip::tcp;
+  tcp::acceptor Acceptor{Loop, {boost::asio::ip::address_v4::loopback(), 0}};
+  Target.Endpoint = {"127.0.0.1", Acceptor.local_endpoint().port()};
+  ConnectionPool Pool{Loop};
+  boost::asio::steady_timer EarlierTimer{Loop, Millis{10}};
+  EarlierTimer.async_wait([](const boost::system::error_code &) {});
+  boost::asio::post(Loop, [&] {
+    std::this_thread::sleep_for(Millis{50});
+    for (int I = 0; I < ConnectionCount; ++I) {
+      connect(Pool, DecisionClock::now() + Millis{250});
+    }
+    std::this_thread::sleep_for(Millis{400});
+  });
+  Loop.run();
+  EXPECT_EQ(Connected, ConnectionCount);
+}
+
+TEST_F(ConnectionPoolTest, TargetThatTakesNoConnectionEndsTheAttemptInTime) {
+  using boost::asio::ip::tcp;
+  tcp::acceptor Acceptor{Loop, {boost::asio::ip::address_v4::loopback(), 0}};
+  Acceptor.listen(0);
+  tcp::socket Accepted{Loop};
+  Accepted.connect(Acceptor.local_endpoint()); // Fills the accept queue.
+  Target.Endpoint = {"127.0.0.1", Acceptor.local_endpoint().port()};
+  ConnectionPool Pool{Loop};
+  const auto Started = DecisionClock::now();
+  connect(Pool, Started + Millis{250});
+  Loop.run();
+  EXPECT_EQ(Connected, 0);
+  EXPECT_LT(DecisionClock::now() - Started, Millis{500});
+}
+
 } // namespace
 } // namespace goldcrestnotch::proxy
