--- a/src/goldcrestnotch/http/server.cpp
+++ b/src/goldcrestnotch/http/server.cpp
@@ -17,6 +17,7 @@
 
 #include "goldcrestnotch/core/error.hpp"
 #include "goldcrestnotch/http/read_buffer.hpp"
+#include "goldcrestnotch/http/stream_timeout.hpp"
 #include "goldcrestnotch/telemetry/log.hpp"
 
 namespace goldcrestnotch::http {
@@ -258,12 +259,20 @@
     Parser.header_limit(Bounds.MaxHeadBytes);
     Parser.body_limit(Bounds.MaxBodyBytes);
     boost::system::error_code Failure;
+    Socket->expires_never(); // The limit of the last write doesn't hold.
+    StreamTimeout Timeout{*Socket};
+    Timeout.expiresAt(DecisionClock::now() + Bounds.HeadTimeout);
     markIdle(Socket);
-    Socket->expires_after(Bounds.HeadTimeout);
     wire::async_read_header(*Socket, Buffer, Parser, Yield[Failure]);
     markBusy(Socket);
-    if (!Failure) {
-      Failure = readBody(*Socket, Buffer, Parser, Yield);
+    Timeout.expiresAt(DecisionClock::now() + Bounds.BodyTimeout);
+    while (!Failure && !Parser.is_done()) {
+      wire::async_read_some(*Socket, Buffer, Parser, Yield[Failure]);
+    }
+    Timeout.expiresNever();
+    if (Timeout.expired()) {
+      ++MalformedRequests;
+      return false;
     }
     if (Failure) {
       rejectRequest(*Socket, Failure, Yield);
@@ -273,28 +282,10 @@
     internal::StreamExchange Current{*Socket, Bounds,
                                      internal::toRequest(Parser.release()),
                                      KeepAlive, Yield};
-    Socket->expires_never();
     OnRequest(Current);
     return KeepAlive && Current.started();
   }
 
-  [[nodiscard]] boost::system::error_code
-  readBody(Stream &Socket, ReadBuffer &Buffer,
-           wire::request_parser<wire::string_body> &Parser,
-           asio::yield_context Yield) {
-    const auto Deadline = DecisionClock::now() + Bounds.BodyTimeout;
-    Socket.expires_after(Bounds.BodyTimeout);
-    boost::system::error_code Failure;
-    while (!Failure && !Parser.is_done()) {
-      // The timer of the socket only ends reads that wait for bytes.
-      if (DecisionClock::now() >= Deadline) {
-        return beast::error::timeout;
-      }
-      wire::async_read_some(Socket, Buffer, Parser, Yield[Failure]);
-    }
-    return Failure;
-  }
-
   void rejectRequest(Stream &Socket, const boost::system::error_code &Failure,
                      asio::yield_context Yield) {
     if (Failure == wire::error::end_of_stream ||
@@ -309,8 +300,6 @@
     } else if (Failure == wire::error::header_limit ||
                Failure == wire::error::buffer_overflow) {
       Result = internal::errorResponse(431, "head_too_large");
-    } else if (Failure == beast::error::timeout) {
-      return;
     }
     internal::StreamExchange Current{Socket, Bounds, Request{}, false, Yield};
     Current.reply(Result);
--- a/src/goldcrestnotch/http/stream_timeout.hpp
+++ b/src/goldcrestnotch/http/stream_timeout.hpp
@@ -34,6 +34,8 @@
   void expiresAt(Instant Deadline) { Shared->begin(Deadline); }
   /// @brief Removes the deadline.
   void expiresNever() { Shared->end(); }
+  /// @brief Whether the stream was closed at a deadline.
+  [[nodiscard]] bool expired() const noexcept { return Shared->expired(); }
 
 private:
   /// Time between the two timers.
@@ -54,6 +56,7 @@
       Deadline = Instant::max();
       Timer.cancel();
     }
+    [[nodiscard]] bool expired() const noexcept { return Expired; }
 
   private:
     void await(Instant Next) {
@@ -73,6 +76,7 @@
         await(Now + ConfirmationDelay);
         return;
       }
+      Expired = true;
       Watched.close();
     }
 
@@ -80,6 +84,7 @@
     Stream &Watched; ///< Destroyed only after `end`.
     Instant Deadline = Instant::max();
     bool Confirming = false; ///< The first timer has expired.
+    bool Expired = false;    ///< The second one, too.
   };
 
   std::shared_ptr<State> Shared;
--- /dev/null
+++ b/test/goldcrestnotch/http/server_test.cpp
@@ -0,0 +1,53 @@
+/// @file
+/// Tests of what callers get from a server whose event loop is late.
+
+#include <thread>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include "goldcrestnotch/http/server.hpp"
+
+namespace goldcrestnotch::http {
+namespace {
+
+using boost::asio::ip::tcp;
+
+// A turn of the loop finds 128 sockets that are ready, and all timers.
+TEST(ServerTest, LateLoopReadsWhatArrivedBeforeTheHeadTimeout) {
+  constexpr int CallerCount = 400;
+  boost::asio::io_context Loop;
+  int Requests = 0;
+  Limits Bounds;
+  Bounds.HeadTimeout = Millis{300};
+  Server Served{Loop, {"127.0.0.1", 0}, Bounds, [&](Exchange &Current) {
+                  ++Requests;
+                  Current.reply({});
+                }};
+  Served.start();
+  std::vector<tcp::socket> Callers;
+  for (int I = 0; I < CallerCount; ++I) {
+    Callers.emplace_back(Loop).connect(
+        {boost::asio::ip::address_v4::loopback(), Served.port()});
+    (void)Loop.poll();
+  }
+  boost::asio::steady_timer EarlierTimer{Loop, Millis{20}};
+  EarlierTimer.async_wait([](const boost::system::error_code &) {});
+  (void)Loop.poll();
+  std::this_thread::sleep_for(Millis{50});
+  for (auto &Caller : Callers) {
+    boost::asio::write(Caller, boost::asio::buffer(std::string{
+                                   "GET / HTTP/1.1\r\nHost: x\r\n\r\n"}));
+  }
+  std::this_thread::sleep_for(Millis{400});
+  (void)Loop.run_for(Millis{200});
+  EXPECT_EQ(Requests, CallerCount);
+}
+
+} // namespace
+} // namespace goldcrestnotch::http
