--- a/test/platform/late_loop_test.cpp
+++ b/test/platform/late_loop_test.cpp
@@ -28,12 +28,11 @@
     ASSERT_TRUE(TestFleet.waitUntilReady());
     TestFleet.IdleTimeoutMs = 1'000;
     TestFleet.publish(2, Fleet::Unlimited, {"key-1"}, 1);
-    ASSERT_TRUE(TestFleet.eventually([&] {
-      return TestFleet.call({.Path = "/more-0/1"}).Status == 200;
-    }));
+    ASSERT_TRUE(TestFleet.eventually(
+        [&] { return TestFleet.call({.Path = "/more-0/1"}).Status == 200; }));
     for (int I = 0; I < CallerCount; ++I) {
-      Callers.push_back(std::make_unique<RawCaller>(Fleet::address(0),
-                                                    Fleet::CallerPort));
+      Callers.push_back(
+          std::make_unique<RawCaller>(Fleet::address(0), Fleet::CallerPort));
     }
     std::this_thread::sleep_for(milliseconds{300});
   }
