--- a/src/goldcrestnotch/http/session.cpp
+++ b/src/goldcrestnotch/http/session.cpp
@@ -13,6 +13,7 @@
 
 #include "goldcrestnotch/core/error.hpp"
 #include "goldcrestnotch/http/read_buffer.hpp"
+#include "goldcrestnotch/http/stream_timeout.hpp"
 
 namespace goldcrestnotch::http {
 
@@ -43,12 +44,12 @@
   [[nodiscard]] Response send(asio::yield_context Yield, const Request &Message,
                               Instant Deadline) {
     try {
-      if (!Socket) {
+      if (!Open) {
         connect(Yield, std::min(Deadline, ConnectDeadline));
       }
       return exchange(Yield, Message, Deadline);
     } catch (const Error &) {
-      Socket.reset();
+      Open.reset();
       Buffer.clear();
       throw;
     }
@@ -60,6 +61,13 @@
 private:
   using Stream = beast::basic_stream<tcp, asio::io_context::executor_type>;
 
+  struct Connection {
+    explicit Connection(asio::io_context &Context) : Socket{Context} {}
+
+    Stream Socket;
+    StreamTimeout<Stream> Timeout{Socket};
+  };
+
   [[nodiscard]] Error connectionError(std::string_view Problem,
                                       const boost::system::error_code &Failure,
                                       Verdict Outcome) const {
@@ -69,24 +77,20 @@
         .withVerdict(Outcome);
   }
 
-  void setDeadline(Instant Deadline) {
-    Socket->expires_at(toSteadyTime(Deadline));
-  }
-
   void connect(asio::yield_context Yield, Instant Deadline) {
-    Socket.emplace(Context);
+    Open.emplace(Context);
     Buffer.clear();
     boost::system::error_code Failure;
     const auto Address = asio::ip::make_address(Remote.Address, Failure);
-    setDeadline(Deadline);
+    Open->Timeout.expiresAt(Deadline);
     if (!Failure) {
-      Socket->async_connect(tcp::endpoint{Address, Remote.Port},
-                            Yield[Failure]);
+      Open->Socket.async_connect(tcp::endpoint{Address, Remote.Port},
+                                 Yield[Failure]);
     }
     if (Failure) {
       throw connectionError("cannot connect to", Failure, Verdict::NotRun);
     }
-    Socket->socket().set_option(tcp::no_delay(true), Failure);
+    Open->Socket.socket().set_option(tcp::no_delay(true), Failure);
   }
 
   [[nodiscard]] Response exchange(asio::yield_context Yield,
@@ -105,26 +109,26 @@
     BeastRequest.prepare_payload();
     boost::system::error_code Failure;
     FirstByte = Instant{};
-    setDeadline(Deadline);
-    wire::async_write(*Socket, BeastRequest, Yield[Failure]);
+    Open->Timeout.expiresAt(Deadline);
+    wire::async_write(Open->Socket, BeastRequest, Yield[Failure]);
     wire::response_parser<wire::string_body> Parser;
     Parser.body_limit(internal::MaxBodyBytes);
     const auto FinalDeadline = Deadline + internal::MaxOverrun;
     while (!Failure && !Parser.is_done()) {
-      wire::async_read_some(*Socket, Buffer, Parser, Yield[Failure]);
+      wire::async_read_some(Open->Socket, Buffer, Parser, Yield[Failure]);
       const auto Now = DecisionClock::now();
       FirstByte = FirstByte == Instant{} ? Now : FirstByte;
-      // The timer of the socket only ends reads that wait for bytes.
+      // Bytes without a pause move the timeout on and on.
       if (!Failure && !Parser.is_done() && Now >= FinalDeadline) {
         Failure = beast::error::timeout;
       }
-      setDeadline(std::max(
+      Open->Timeout.expiresAt(std::max(
           Deadline, std::min(Now + internal::StallTimeout, FinalDeadline)));
     }
     if (Failure) {
       throw connectionError("no response from", Failure, Verdict::MayHaveRun);
     }
-    Socket->expires_never();
+    Open->Timeout.expiresNever();
     Response Result;
     Result.Status = static_cast<int>(Parser.get().result_int());
     for (const auto &Field : Parser.get()) {
@@ -133,14 +137,14 @@
     }
     Result.Body = std::move(Parser.get().body());
     if (!Parser.keep_alive()) {
-      Socket.reset();
+      Open.reset();
     }
     return Result;
   }
 
   asio::io_context &Context;
   Endpoint Remote;
-  std::optional<Stream> Socket;
+  std::optional<Connection> Open;
   ReadBuffer Buffer;
 };
 
--- a/test/goldcrestnotch/http/session_test.cpp
+++ b/test/goldcrestnotch/http/session_test.cpp
@@ -5,6 +5,8 @@
 
 #include "goldcrestnotch/http/session.hpp"
 
+#include <thread>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <gtest/gtest.h>
@@ -80,5 +82,42 @@
   EXPECT_EQ(Body, "xxxxx");
 }
 
+// A turn of the loop finds 128 sockets that are ready, and all timers.
+TEST(Session, LateLoopReadsResponsesThatArrivedBeforeTheDeadline) {
+  constexpr int SessionCount = 400;
+  boost::asio::io_context ServerLoop;
+  Server Remote{ServerLoop, {"127.0.0.1", 0}, {}, [](Exchange &Current) {
+                  boost::asio::steady_timer Timer{executorOf(Current.yield()),
+                                                  Millis{200}};
+                  Timer.async_wait(Current.yield());
+                  Current.reply({});
+                }};
+  Remote.start();
+  std::thread Serving{[&] { ServerLoop.run(); }};
+  boost::asio::io_context Loop;
+  int Answered = 0;
+  for (int I = 0; I < SessionCount; ++I) {
+    boost::asio::spawn(Loop, [&](boost::asio::yield_context Yield) {
+      Session Connection{Loop, {"127.0.0.1", Remote.port()}};
+      try {
+        (void)Connection.send(Yield, rootRequest(),
+                              DecisionClock::now() + Millis{1'500});
+        ++Answered;
+      } catch (const Error &) {
+        // The test counts the responses.
+      }
+    });
+  }
+  boost::asio::steady_timer EarlierTimer{Loop, Millis{110}};
+  EarlierTimer.async_wait([](const boost::system::error_code &) {});
+  (void)Loop.run_for(Millis{100});
+  std::this_thread::sleep_for(Millis{1'600});
+  Loop.restart();
+  Loop.run();
+  ServerLoop.stop();
+  Serving.join();
+  EXPECT_EQ(Answered, SessionCount);
+}
+
 } // namespace
 } // namespace goldcrestnotch::http
