Logs: a request that begins to arrive and is closed for its time is logged and counted

Its connection ended without an answer and without a trace in the logs, so they could not tell it from callers that left.

--- a/src/goldcrestnotch/proxy/caller_connection.cpp
+++ b/src/goldcrestnotch/proxy/caller_connection.cpp
@@ -94,6 +94,9 @@
   auto Result =
       Failure ? internal::resultOf(Failure) : readBody(Yield, Received);
   ReadTimeout.expiresNever();
+  if (ReadTimeout.expired()) {
+    Result = ReadResult::TimedOut;
+  }
   if (Interrupted && Result == ReadResult::Closed) {
     Result = ReadResult::ShuttingDown;
   }
--- a/src/goldcrestnotch/proxy/caller_connection.hpp
+++ b/src/goldcrestnotch/proxy/caller_connection.hpp
@@ -30,7 +30,8 @@
 /// @brief Result of reading a request.
 enum class ReadResult : std::uint8_t {
   Complete,     ///< A request was read.
-  Closed,       ///< The caller closed the connection or timed out.
+  Closed,       ///< The caller closed the connection, or it was idle.
+  TimedOut,     ///< A request had begun, and the rest did not arrive in time.
   Malformed,    ///< The bytes are not a valid HTTP request.
   HeadTooLarge, ///< The head exceeds the configured limit, or a chunk head or
                 ///< the trailer section that of the buffer.
--- a/src/goldcrestnotch/proxy/listener.cpp
+++ b/src/goldcrestnotch/proxy/listener.cpp
@@ -53,6 +53,8 @@
     return "long_requests_refused_total";
   case ReadResult::ShuttingDown:
     return "unread_requests_refused_total";
+  case ReadResult::TimedOut:
+    return "requests_timed_out_total";
   default:
     return "malformed_requests_total";
   }
@@ -197,6 +199,11 @@
   case ReadResult::Complete:
   case ReadResult::Closed:
     return;
+  case ReadResult::TimedOut: // The connection is closed already.
+    Context.Measured.count(internal::counterOf(Result));
+    logRequest(false, {{"status", std::int64_t{0}},
+                       {"cause", std::string{"request_timed_out"}}});
+    return;
   case ReadResult::Malformed:
     Status = internal::MalformedStatus;
     break;
