BUDGET: a connection that this VM closes is no evidence against a request

Sound requests, and prompts that share their parts, became suspect of crashing targets, were not repeated, and could be refused, after callers of such requests had left.

Cause: the connection to the target is closed when its caller leaves. If that happens while a piece is written to the caller, the next read fails with a bad descriptor, and only an aborted read was known as an own close: the target seemed to have broken the response off, which is strong evidence that it has crashed. A late loop handles the piece and the caller's end in one turn. Class: an own act is taken for one of the peer. A socket that is closed here can't have been broken off.

UpstreamTest.ConnectionThatTheVmClosesItselfIsNotBrokenOff failed before, three times of three, and holds now.

--- a/src/goldcrestnotch/proxy/upstream.cpp
+++ b/src/goldcrestnotch/proxy/upstream.cpp
@@ -107,8 +107,11 @@
 void Upstream::recordFailure(const boost::system::error_code &Failure) {
   Malformed = internal::isMalformed(Failure);
   Silent = Failure == boost::beast::error::timeout;
-  BrokenOff =
-      !Malformed && !Silent && Failure != asio::error::operation_aborted;
+  // This VM closes the connection itself when the caller leaves, also between
+  // two reads.
+  const bool ClosedHere = Failure == asio::error::operation_aborted ||
+                          !Connection->Socket.socket().is_open();
+  BrokenOff = !Malformed && !Silent && !ClosedHere;
 }
 
 bool Upstream::readSome(std::string &Body) {
--- a/src/goldcrestnotch/proxy/upstream.hpp
+++ b/src/goldcrestnotch/proxy/upstream.hpp
@@ -55,7 +55,8 @@
     return static_cast<int>(Response->get().result_int());
   }
   /// @brief Whether the target ended or lost the connection before the end of
-  /// the response. A deadline or malformed bytes are no such end.
+  /// the response. A deadline, malformed bytes, or a connection that this VM
+  /// has closed are no such end.
   [[nodiscard]] bool brokenOff() const noexcept { return BrokenOff; }
   /// @brief Whether the response ended because its target sent nothing until a
   /// deadline.
--- a/test/goldcrestnotch/proxy/upstream_test.cpp
+++ b/test/goldcrestnotch/proxy/upstream_test.cpp
@@ -95,6 +95,30 @@
   std::size_t BufferBytes = 0;
 };
 
+// Callers that left made sound requests suspect of having crashed the target.
+TEST_F(UpstreamTest, ConnectionThatTheVmClosesItselfIsNotBrokenOff) {
+  standin::RawPeer Target{{ChunkedHead, "1\r\nx\r\n"}};
+  boost::asio::spawn(Loop, [&](boost::asio::yield_context Yield) {
+    const auto To = std::make_shared<backend::Target>();
+    To->Registered.Endpoint = {"127.0.0.1", Target.port()};
+    ConnectionPool Pool{Loop};
+    const auto Deadline = DecisionClock::now() + Millis{5'000};
+    const auto Connection = Pool.connect(Yield, To->Registered, Deadline);
+    Upstream Remote{Connection,
+                    WireRequest{boost::beast::http::verb::get, "/", 11}, To, 0,
+                    Yield};
+    Remote.send(Deadline);
+    HeadRead = Remote.readHead("Attempt", "a1");
+    Connection->Socket.close(); // As when the caller has left.
+    EXPECT_FALSE(Remote.readAll(Body, MaxBodyBytes));
+    BrokenOff = Remote.brokenOff();
+  });
+  Loop.run();
+  (void)Target.finish();
+  EXPECT_TRUE(HeadRead);
+  EXPECT_FALSE(BrokenOff);
+}
+
 // A target that never ends one part of its response must not make the VM
 // buffer it: the process would be killed for its memory.
 TEST_F(UpstreamTest, StatusLineWithoutEndIsCutOff) {
