--- a/src/goldcrestnotch/http/session.cpp
+++ b/src/goldcrestnotch/http/session.cpp
@@ -118,7 +118,7 @@
       wire::async_read_some(Open->Socket, Buffer, Parser, Yield[Failure]);
       const auto Now = DecisionClock::now();
       FirstByte = FirstByte == Instant{} ? Now : FirstByte;
-      // Bytes without a pause move the timeout on and on.
+      // Each read moves the timeout, so bytes without a pause would go on.
       if (!Failure && !Parser.is_done() && Now >= FinalDeadline) {
         Failure = beast::error::timeout;
       }
@@ -136,7 +136,7 @@
                                      std::string{Field.value()});
     }
     Result.Body = std::move(Parser.get().body());
-    if (!Parser.keep_alive()) {
+    if (!Parser.keep_alive() || Open->Timeout.expired()) {
       Open.reset();
     }
     return Result;
--- a/src/goldcrestnotch/http/stream_timeout.hpp
+++ b/src/goldcrestnotch/http/stream_timeout.hpp
@@ -20,8 +20,8 @@
 /// bytes arrived in time and wait to be read. So a second timer closes it:
 /// what was ready at the first one is handled before.
 ///
-/// Unlike the timer of a Beast stream, it ends several operations together, and
-/// only those. It is used by the executor of the stream only.
+/// Unlike the timer of a Beast stream, it also ends a series of operations none
+/// of which waits. It is used on the executor of the stream only.
 template <typename Stream> class StreamTimeout {
 public:
   explicit StreamTimeout(Stream &Watched)
