Proxy: responses that arrived before the deadline are delivered by a late loop

An answer that is ready is to be delivered, also when late. The deadline now also ends responses that arrive without a pause, so the extra check after each read is gone.

TargetThatIsSilentUntilTheDeadlineIsNotBrokenOff passed before, too.

--- a/src/goldcrestnotch/proxy/target_connection.cpp
+++ b/src/goldcrestnotch/proxy/target_connection.cpp
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "goldcrestnotch/core/error.hpp"
-#include "goldcrestnotch/http/stream_timeout.hpp"
 
 namespace goldcrestnotch::proxy {
 
@@ -59,11 +58,11 @@
   boost::system::error_code Failure;
   const auto Address = asio::ip::make_address(To.Endpoint.Address, Failure);
   if (!Failure) {
-    http::StreamTimeout Timeout{Connection->Socket};
-    Timeout.expiresAt(Deadline);
+    Connection->Timeout.expiresAt(Deadline);
     Connection->Socket.async_connect(tcp::endpoint{Address, To.Endpoint.Port},
                                      Yield[Failure]);
   }
+  Connection->Timeout.expiresNever();
   if (Failure) {
     throw Error{503,
                 Failure == asio::error::connection_refused
@@ -98,7 +97,7 @@
 void ConnectionPool::release(const backend::Registration &To,
                              std::shared_ptr<TargetConnection> Connection,
                              std::int64_t MaxConnections) {
-  Connection->Socket.expires_never();
+  Connection->Timeout.expiresNever();
   Connection->Buffer.shrink_to_fit();
   auto &Connections = Idle[{To.Name, To.Incarnation}];
   Connections.push_back(std::move(Connection));
--- a/src/goldcrestnotch/proxy/target_connection.hpp
+++ b/src/goldcrestnotch/proxy/target_connection.hpp
@@ -18,6 +18,7 @@
 #include "goldcrestnotch/backend/target.hpp"
 #include "goldcrestnotch/core/instant.hpp"
 #include "goldcrestnotch/http/read_buffer.hpp"
+#include "goldcrestnotch/http/stream_timeout.hpp"
 
 namespace goldcrestnotch::proxy {
 
@@ -35,6 +36,7 @@
   [[nodiscard]] bool idle();
 
   TcpStream Socket;
+  http::StreamTimeout<TcpStream> Timeout{Socket};
   http::ReadBuffer Buffer;
   bool Used = false;       ///< It has carried a request before.
   Instant ReuseDeadline{}; ///< The target may close it after this time.
--- a/src/goldcrestnotch/proxy/upstream.cpp
+++ b/src/goldcrestnotch/proxy/upstream.cpp
@@ -62,9 +62,8 @@
   ++this->Target->InProgress;
 }
 
-void Upstream::send(Instant Limit) {
-  Deadline = Limit;
-  Connection->Socket.expires_at(toSteadyTime(Deadline));
+void Upstream::send(Instant Deadline) {
+  Connection->Timeout.expiresAt(Deadline);
   auto KeptRequest = Pending;
   auto KeptConnection = Connection;
   wire::async_write(Connection->Socket, KeptRequest->Message,
@@ -106,7 +105,7 @@
 
 void Upstream::recordFailure(const boost::system::error_code &Failure) {
   Malformed = internal::isMalformed(Failure);
-  Silent = Failure == boost::beast::error::timeout;
+  Silent = Connection->Timeout.expired();
   // This VM closes the connection itself when the caller leaves, also between
   // two reads.
   const bool ClosedHere = Failure == asio::error::operation_aborted ||
@@ -124,8 +123,7 @@
                         Yield[Failure]);
   Body.append(ReadBuffer, 0, ReadBuffer.size() - Response->get().body().size);
   if (!Failure || Failure == wire::error::need_buffer) {
-    // The timer of the socket only ends reads that wait for bytes.
-    return Response->is_done() || DecisionClock::now() < Deadline;
+    return true;
   }
   recordFailure(Failure);
   return false;
--- a/src/goldcrestnotch/proxy/upstream.hpp
+++ b/src/goldcrestnotch/proxy/upstream.hpp
@@ -70,8 +70,8 @@
   [[nodiscard]] bool complete() const { return Response->is_done(); }
 
   /// @brief Starts to send the request; does not wait until it is sent.
-  /// @param Limit Deadline for sending the request and reading the response.
-  void send(Instant Limit);
+  /// @param Deadline For sending the request and reading the response.
+  void send(Instant Deadline);
 
   /// @brief Reads the head of the response to this request. Late responses to
   /// earlier requests on the connection are discarded.
@@ -112,7 +112,6 @@
   std::shared_ptr<PendingRequest> Pending;
   std::optional<Parser> Response;
   std::string ReadBuffer;
-  Instant Deadline = Instant::max(); ///< For the whole response.
   bool HeadReceived = false;
   bool BrokenOff = false;
   bool Malformed = false;
--- a/test/goldcrestnotch/proxy/upstream_test.cpp
+++ b/test/goldcrestnotch/proxy/upstream_test.cpp
@@ -4,9 +4,14 @@
 
 #include "goldcrestnotch/proxy/upstream.hpp"
 
+#include <thread>
+
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <gtest/gtest.h>
 
+#include "goldcrestnotch/http/server.hpp"
+#include "goldcrestnotch/kernel/await.hpp"
 #include "raw_peer.hpp"
 
 namespace goldcrestnotch::proxy {
@@ -38,6 +43,7 @@
       Whole = HeadRead && Remote.readAll(Body, BodyBound);
       Malformed = Remote.malformed();
       BrokenOff = Remote.brokenOff();
+      Silent = Remote.silent();
       BufferBytes = Connection->Buffer.capacity();
     });
     Loop.run();
@@ -92,9 +98,61 @@
   bool Whole = false;
   bool Malformed = false;
   bool BrokenOff = false;
+  bool Silent = false;
   std::size_t BufferBytes = 0;
 };
 
+// A turn of the loop finds 128 sockets that are ready, and all timers.
+TEST_F(UpstreamTest, LateLoopReadsResponsesThatArrivedBeforeTheDeadline) {
+  constexpr int ExchangeCount = 400;
+  boost::asio::io_context ServerLoop;
+  http::Server Server{
+      ServerLoop, {"127.0.0.1", 0}, {}, [](http::Exchange &Current) {
+        boost::asio::steady_timer Timer{executorOf(Current.yield()),
+                                        Millis{200}};
+        Timer.async_wait(Current.yield());
+        http::Response Reply;
+        Reply.Fields["Attempt"] = "a1";
+        Current.reply(Reply);
+      }};
+  Server.start();
+  std::thread Serving{[&] { ServerLoop.run(); }};
+  ConnectionPool Pool{Loop};
+  const auto To = std::make_shared<backend::Target>();
+  To->Registered.Endpoint = {"127.0.0.1", Server.port()};
+  int Answered = 0;
+  for (int I = 0; I < ExchangeCount; ++I) {
+    boost::asio::spawn(Loop, [&](boost::asio::yield_context Yield) {
+      const auto Deadline = DecisionClock::now() + Millis{1'500};
+      Upstream Remote{Pool.connect(Yield, To->Registered, Deadline),
+                      WireRequest{boost::beast::http::verb::get, "/", 11}, To,
+                      0, Yield};
+      Remote.send(Deadline);
+      Answered += Remote.readHead("Attempt", "a1") ? 1 : 0;
+    });
+  }
+  boost::asio::steady_timer EarlierTimer{Loop, Millis{110}};
+  EarlierTimer.async_wait([](const boost::system::error_code &) {});
+  (void)Loop.run_for(Millis{100});
+  std::this_thread::sleep_for(Millis{1'600});
+  Loop.restart();
+  Loop.run();
+  ServerLoop.stop();
+  Serving.join();
+  EXPECT_EQ(Answered, ExchangeCount);
+}
+
+TEST_F(UpstreamTest, TargetThatIsSilentUntilTheDeadlineIsNotBrokenOff) {
+  boost::asio::ip::tcp::acceptor Target{
+      Loop, {boost::asio::ip::address_v4::loopback(), 0}};
+  const auto Begin = DecisionClock::now();
+  exchange(Target.local_endpoint().port(), Millis{300});
+  EXPECT_FALSE(HeadRead);
+  EXPECT_TRUE(Silent);
+  EXPECT_FALSE(BrokenOff);
+  EXPECT_LT(DecisionClock::now() - Begin, Millis{2'000});
+}
+
 // Callers that left made sound requests suspect of having crashed the target.
 TEST_F(UpstreamTest, ConnectionThatTheVmClosesItselfIsNotBrokenOff) {
   standin::RawPeer Target{{ChunkedHead, "1\r\nx\r\n"}};
