StreamTimeout: one millisecond between the two timers

Callers got a response about a deadline that had passed 20 ms later than before, and 15 ms are left for its way to them: they would have left without it. The order in which the kernel reports what is ready doesn't depend on the time between.

--- a/src/goldcrestnotch/http/stream_timeout.hpp
+++ b/src/goldcrestnotch/http/stream_timeout.hpp
@@ -17,8 +17,9 @@
 ///
 /// A turn of the loop finds a limited number of sockets that are ready, but all
 /// timers that have expired. After a long turn, a stream would be closed whose
-/// bytes arrived in time and wait to be read. So a second timer closes it:
-/// what was ready at the first one is handled before.
+/// bytes arrived in time and wait to be read. So a second timer closes it. The
+/// kernel reports what is ready in the order in which it became so, and the
+/// second timer after what was ready at the first one.
 ///
 /// Unlike the timer of a Beast stream, it also ends a series of operations none
 /// of which waits. It is used on the executor of the stream only.
@@ -38,8 +39,9 @@
   [[nodiscard]] bool expired() const noexcept { return Shared->expired(); }
 
 private:
-  /// Time between the two timers.
-  static constexpr Millis ConfirmationDelay{20};
+  /// Time between the two timers. Callers learn of a deadline that passed by a
+  /// response that must reach them in time.
+  static constexpr Millis ConfirmationDelay{1};
 
   /// @brief Outlives the timeout while the handler of its timer is queued.
   class State : public std::enable_shared_from_this<State> {
