review: replicas that go dark before the head crash on under one prompt part

Cause: a crash before the first byte is known only by the replica's next entry or a refused connection; a machine that answers nothing gives neither for seconds.

--- a/review/harness-2/bed.hpp
+++ b/review/harness-2/bed.hpp
@@ -165,6 +165,8 @@
   std::string AttemptId;
   std::string TokenUsage; ///< `INPUT,MAX-OUTPUT` for streams, else empty.
   int DeadlineMs = 5'000;
+  std::string PromptParts; ///< `ID:TOKENS` separated by commas, or empty.
+  int LeaveAfterMs = 0;    ///< When the caller leaves; at its deadline if zero.
 };
 
 /// @brief What a caller got; status zero if no head arrived.
@@ -288,7 +290,8 @@
   /// @brief Sends a caller's request to a VM and records it.
   CallResult call(int Vm, const Call &Params) {
     const auto Result =
-        send(requestOf(Params), {address(Vm), CallerPort}, Params.DeadlineMs);
+        send(requestOf(Params), {address(Vm), CallerPort},
+             Params.LeaveAfterMs > 0 ? Params.LeaveAfterMs : Params.DeadlineMs);
     Log.line("vm-" + std::to_string(Vm) + " " + Params.Path + " " +
              Params.AttemptId + " -> " + std::to_string(Result.Status) +
              (Result.Complete ? "" : " (broken off)"));
@@ -310,6 +313,7 @@
   [[nodiscard]] StoreLink &link(int Vm) {
     return *Links[static_cast<std::size_t>(Vm)];
   }
+  [[nodiscard]] boost::asio::io_context &context() noexcept { return Context; }
   [[nodiscard]] UsersReplica &replica(int Number) {
     return *Replicas[static_cast<std::size_t>(Number)];
   }
@@ -394,6 +398,9 @@
       Message.Fields["X-Goldcrestnotch-Token-Usage"] = Params.TokenUsage;
       Message.Fields["X-Goldcrestnotch-Model"] = "m";
     }
+    if (!Params.PromptParts.empty()) {
+      Message.Fields["X-Goldcrestnotch-Prompt-Prefix"] = Params.PromptParts;
+    }
     return Message;
   }
 
