--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -39,9 +39,11 @@
         withTrouble()
             ? std::string{"Transfer-Encoding: chunked, gzip\r\n"}
             : "Content-Length: " + std::to_string(Body.size()) + "\r\n";
-    const auto Answer =
-        exchange(headOf("/order/outer", "outer-" + std::to_string(I)) +
-                 Framing + "\r\n" + Body);
+    auto Bytes = headOf("/order/outer", "outer-" + std::to_string(I));
+    Bytes += Framing;
+    Bytes += "\r\n";
+    Bytes += Body;
+    const auto Answer = exchange(Bytes);
     const int Runs = Fleet.replica(0).runsOf(Inner);
     Smuggled += Runs > 0 ? 1 : 0;
     Log.line("outer-" + std::to_string(I) + " sent with " +
--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -33,6 +33,7 @@
     for (int I = 0; I < Chats * 2 && Refused < 40; ++I) {
       chat(I % 2);
     }
+    Fleet.recordRuns();
     const bool Broken = Used.tokens() > Prepaid;
     Log.line("prepaid " + std::to_string(Prepaid) + ", consumed " +
              std::to_string(Used.tokens()) +
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -36,6 +36,7 @@
     for (int I = 0; I < Chats; ++I) {
       chat();
     }
+    Fleet.recordRuns();
     const bool Broken = Denied > MaxDenied + Number / RequestsPerDenied;
     Log.line("prepaid " + std::to_string(Prepaid) + ", consumed " +
              std::to_string(Used.tokens()) + "; of " + std::to_string(Number) +
--- a/review/harness-2/bed.hpp
+++ b/review/harness-2/bed.hpp
@@ -298,7 +298,14 @@
     return Result;
   }
 
-  /// @brief Writes the outputs of all daemons into a folder's file.
+  /// @brief Records how many requests each replica has run.
+  void recordRuns() {
+    for (const auto &Replica : Replicas) {
+      Log.line(Replica->name() + " ran " + std::to_string(Replica->runs()) +
+               " requests");
+    }
+  }
+  /// @brief Writes the outputs of all daemons into a file.
   void saveLogs(const std::string &File) {
     std::ofstream Out{File};
     for (std::size_t I = 0; I < Daemons.size(); ++I) {
