Test: one odd name at the end of a page, all daemons restarted

The incident's exact form: one entry of another writer whose name holds `&`, `+`, `#`, `%` or a blank stands last on the first page of the list of targets, all other entries have plain names, the two targets stand on two further pages, and all daemons are killed and started again at once.

The existing tests play 1,200 entries of one odd form.

--- a/test/platform/odd_names_test.cpp
+++ b/test/platform/odd_names_test.cpp
@@ -14,6 +14,7 @@
 using namespace std::string_literals;
 
 constexpr const char *TargetTopic = "keyed.servers";
+constexpr int EntriesPerPage = 500;
 /// More than two pages.
 constexpr int ForeignEntries = 1'200;
 
@@ -75,6 +76,38 @@
                                          "\r\n", "\xff", "&after=zzz",
                                          std::string(240, '%')));
 
+using PlatformOneOddName = PlatformOddName;
+
+// Only one name of a long list was odd, at the end of the first page.
+TEST_P(PlatformOneOddName, AtTheEndOfAPageDoesNotKeepTargetsFromUse) {
+  const auto Add = [this](const std::string &Name) {
+    TestFleet.Store.put(TargetTopic, Name, "not a registration");
+  };
+  const auto AddPlain = [&](const std::string &Prefix, int Count) {
+    for (int I = 0; I < Count; ++I) {
+      Add(Prefix + std::to_string(10'000 + I));
+    }
+  };
+  AddPlain("a!", EntriesPerPage - 1);
+  Add(GetParam());
+  // The two targets stand on different pages behind it.
+  AddPlain("b-", EntriesPerPage - 1);
+  AddPlain("z-", EntriesPerPage);
+  restartAll();
+  expectService();
+  for (int Vm = 0; Vm < VmCount; ++Vm) {
+    EXPECT_TRUE(TestFleet.eventually([&] {
+      const auto Metrics = TestFleet.get(Fleet::ReadyPort, "/metrics", Vm).Body;
+      return Metrics.find("goldcrestnotch_targets 2\n") != std::string::npos;
+    }));
+  }
+}
+
+// Each sorts behind all names that begin with `a!`.
+INSTANTIATE_TEST_SUITE_P(Characters, PlatformOneOddName,
+                         testing::Values("a!~", "a&", "a+", "a#", "a%", "a!~ b",
+                                         "a&b+c#d%e f"));
+
 using PlatformForeignEntry = PlatformOddName;
 
 TEST_F(PlatformForeignEntry, ThatLooksLikeATargetGetsNoRequests) {
