Stand-ins: records without a key, texts in place of reads and of the era

What the next tests need: a record in the history whose content is no key and value, reads that return a text or end inside a record, an era that is absent or no number, a rate limit that is no number. Nothing changes for tests that don't ask for it.

--- a/standin/users_replica.cpp
+++ b/standin/users_replica.cpp
@@ -96,7 +96,8 @@
   Reply.Fields[AttemptHeader] = std::string{Request.field(AttemptHeader)};
   Reply.Fields["Keep-Alive"] = "timeout=5";
   if (const double Stated = RateLimit; Stated > 0) {
-    Reply.Fields[RateLimitHeader] = std::to_string(Stated);
+    Reply.Fields[RateLimitHeader] =
+        RateLimitIsText ? "none" : std::to_string(Stated);
   }
   if (Leaving) {
     Reply.Fields["Server-Leaving"] = "1";
--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -93,6 +93,8 @@
   /// Requests per second that the replica states in its responses; it states
   /// none if this is zero.
   std::atomic<double> RateLimit{0};
+  /// Whether the replica states a text in place of its rate limit.
+  std::atomic<bool> RateLimitIsText{false};
   /// Whether the replica says in all its responses that it leaves.
   std::atomic<bool> Leaving{false};
   /// Rejections per second that the replica says it survives; none if zero.
--- a/standin/users_store.cpp
+++ b/standin/users_store.cpp
@@ -115,6 +115,17 @@
   PutSinceCopy[{Topic, Key}] = Value;
 }
 
+void UsersStore::putContent(const std::string &Topic,
+                            const std::string &Content) {
+  const std::lock_guard Lock{Mutex};
+  Topics[Topic].Records.push_back({{}, std::nullopt, Content});
+}
+
+void UsersStore::stateEra(std::optional<std::string> Text) {
+  const std::lock_guard Lock{Mutex};
+  EraText = std::move(Text);
+}
+
 void UsersStore::showToReader(const std::string &Host,
                               std::map<std::string, std::string> Replacements) {
   const std::lock_guard Lock{Mutex};
@@ -169,7 +180,13 @@
 }
 
 void UsersStore::reply(Exchange &HttpExchange, Response Answer) const {
-  Answer.Fields["Store-Era"] = std::to_string(Era);
+  {
+    const std::lock_guard Lock{Mutex};
+    const auto Stated = EraText.value_or(std::to_string(Era));
+    if (!Stated.empty()) {
+      Answer.Fields["Store-Era"] = Stated;
+    }
+  }
   HttpExchange.reply(Answer);
 }
 
@@ -231,6 +248,10 @@
   const auto From = parseNumber(Request.parameter("from"));
   const auto Deadline =
       DecisionClock::now() + Millis{parseNumber(Request.parameter("waitMs"))};
+  if (ReadsFail == ReadFault::Text) {
+    reply(HttpExchange, answer({{"error", "no read"}}));
+    return;
+  }
   const auto MaxKb = Request.parameter("maxKb");
   const std::size_t MaxBytes =
       (MaxKb.empty() ? DefaultReadKb : parseNumber(MaxKb)) * 1'024;
@@ -266,8 +287,12 @@
   for (auto I = From; I < Log.Records.size() && Answer.Body.size() < MaxBytes;
        ++I) {
     const auto &Entry = Log.Records[I];
-    Answer.Body += frame(std::string(1, static_cast<char>(Entry.Key.size())) +
-                         Entry.Key + shown(Host, Entry.Value.value_or("")));
+    Answer.Body += frame(Entry.Content.value_or(
+        std::string(1, static_cast<char>(Entry.Key.size())) + Entry.Key +
+        shown(Host, Entry.Value.value_or(""))));
+  }
+  if (ReadsFail == ReadFault::Cut) {
+    Answer.Body.resize(std::min(Answer.Body.size(), MaxBytes));
   }
   return Answer;
 }
--- a/standin/users_store.hpp
+++ b/standin/users_store.hpp
@@ -28,6 +28,13 @@
   RejectsKeys, ///< The call is answered with status 400.
 };
 
+/// @brief What goes wrong with reads of the history.
+enum class ReadFault : std::uint8_t {
+  None,
+  Text, ///< A text in place of offsets and records.
+  Cut,  ///< A record that exceeds the size of the read is cut off.
+};
+
 /// @brief A store that listens on loopback. Tests write to it directly in the
 /// place of the operator and of targets.
 class UsersStore {
@@ -44,6 +51,9 @@
   /// @brief Appends a record; a record without a value deletes the key.
   void put(const std::string &Topic, const std::string &Key,
            const std::optional<std::string> &Value);
+  /// @brief Appends a record whose content is no key and value. It is in the
+  /// history only.
+  void putContent(const std::string &Topic, const std::string &Content);
   /// @brief Deletes a topic with its history.
   void remove(const std::string &Topic);
   /// @brief Makes all present offsets unreadable (status 410); the newest value
@@ -65,7 +75,12 @@
   void showToReader(const std::string &Host,
                     std::map<std::string, std::string> Replacements);
 
+  /// @brief Makes answers state a text in place of the era; an empty one leaves
+  /// the header out, and nothing ends this.
+  void stateEra(std::optional<std::string> Text);
+
   std::atomic<PageFault> PagesFail{PageFault::None};
+  std::atomic<ReadFault> ReadsFail{ReadFault::None};
   /// Pages of newest records that were asked for.
   std::atomic<std::uint64_t> Pages{0};
   /// Respond 503 to every call.
@@ -77,6 +92,8 @@
   struct Record {
     std::string Key;
     std::optional<std::string> Value;
+    /// What readers of the history get in place of key and value.
+    std::optional<std::string> Content = std::nullopt;
   };
   struct Topic {
     std::vector<Record> Records;
@@ -112,6 +129,7 @@
   /// Replaced texts by reader; guarded by `Mutex`.
   std::map<std::string, std::map<std::string, std::string>> ShownByHost;
   std::atomic<std::uint64_t> Era{1};
+  std::optional<std::string> EraText; ///< Guarded by `Mutex`.
   goldcrestnotch::http::Server Listener;
 };
 
