store: a record whose key is cut deletes nothing

Callers saw: a target got no requests until its next record, after another writer had appended content whose length byte exceeds what follows.

Cause: the key was taken as far as it went, and a record without a value is a deletion, so content of `\x04t-1` deleted `t-1`. Records of budgets are read by the same function.

--- a/test/adapter/store_pages_test.cpp
+++ b/test/adapter/store_pages_test.cpp
@@ -299,6 +299,40 @@
   EXPECT_TRUE(knowsTargets());
 }
 
+// A cut key named a target, which was taken for deleted.
+TEST_F(StorePages, RecordWhoseContentEndsInsideItsKeyDeletesNothing) {
+  fill(0, "");
+  ASSERT_EQ(poll(), std::nullopt);
+  for (const auto &Content : {""s, "\x04t-1"s, "\xfft-2"s, "\x01"s}) {
+    Store.putContent(Topic, Content);
+  }
+  put("t-2", "moved");
+  ASSERT_EQ(poll(), std::nullopt);
+  EXPECT_EQ(Feed->value("t-1"), "target");
+  EXPECT_EQ(Feed->value("t-2"), "moved");
+  EXPECT_EQ(Feed->nextOffset(), 7U);
+  EXPECT_NE(Measured.text().find("store_entries_left_out_total 4"),
+            std::string::npos);
+}
+
+TEST_F(StorePages, OddNamesThatComeAndGoLeaveOthersInUse) {
+  fill(EntriesPerPage, "&");
+  ASSERT_EQ(poll(), std::nullopt);
+  for (const auto &OddPart : OddParts) {
+    Store.put(Topic, "never" + OddPart, std::nullopt);
+    put("x" + OddPart);
+    Store.put(Topic, "x" + OddPart, std::nullopt);
+    put("x" + OddPart, "again");
+  }
+  put("t-2", "moved");
+  ASSERT_EQ(poll(), std::nullopt);
+  EXPECT_EQ(Feed->value("t-1"), "target");
+  EXPECT_EQ(Feed->value("t-2"), "moved");
+  for (const auto &OddPart : OddParts) {
+    EXPECT_EQ(Feed->value("x" + OddPart), "again");
+  }
+}
+
 TEST_F(StorePages, KeyThatIsTooLongToWriteIsAnError) {
   std::optional<std::string> Failure;
   (void)poll();
