store: an answer whose entries are no list empties no list

Callers saw: every target gone at once, if the store answered `log-newest` with status 200 and `items` of another type than a list.

Cause: iterating over `null` or an object is no error, so the page counted as the whole, empty list, and all known entries as deleted meanwhile. An `endOffset` of -1 or 1e300 was converted to some number, as of which entries were deleted and later records ignored; the offsets that an append returns were read in the same way.

--- a/test/adapter/newest_page_test.cpp
+++ b/test/adapter/newest_page_test.cpp
@@ -69,5 +69,29 @@
   }
 }
 
+// The list was taken for an empty one, and all known entries for deleted.
+TEST(NewestPage, EntriesThatAreNoListAreAnError) {
+  for (const auto *Items : {"null", "7", "\"\"", "{}", "false"}) {
+    EXPECT_THROW(
+        (void)decodeNewestPage(R"({"items":)" + std::string{Items} +
+                                   R"(,"hasMore":false,"endOffset":2})",
+                               1),
+        store::StoreError)
+        << Items;
+  }
+}
+
+// Entries were deleted as of an offset that no later record reaches.
+TEST(NewestPage, EndThatIsNoOffsetIsAnError) {
+  for (const auto *End : {"-1", "2.5", "1e300", "null", "\"2\"", "[2]"}) {
+    EXPECT_THROW((void)decodeNewestPage(R"({"items":[],"hasMore":false,)"
+                                        R"("endOffset":)" +
+                                            std::string{End} + "}",
+                                        1),
+                 store::StoreError)
+        << End;
+  }
+}
+
 } // namespace
 } // namespace goldcrestnotch::platform_adapter
