--- a/src/goldcrestnotch/store/keyed_feed.hpp
+++ b/src/goldcrestnotch/store/keyed_feed.hpp
@@ -220,7 +220,7 @@
     if (!Broken) {
       deleteMissing(Present, LoadEnd, KeysSkipped);
     }
-    NextOffset = std::max(NextOffset, LoadEnd);
+    NextOffset = LoadEnd;
     ProvenAt = std::max(ProvenAt, Begin);
     Loaded = true;
     if (!Broken) {
--- a/test/adapter/store_pages_test.cpp
+++ b/test/adapter/store_pages_test.cpp
@@ -76,7 +76,7 @@
   std::optional<std::string> poll(bool RequireWholeList = false) {
     if (!Feed) {
       Client.emplace(Loop, http::Endpoint{"127.0.0.1", Store.port()}, Health,
-                     Measured);
+                     Measured, MaxReadKb);
       Feed.emplace(
           *Client, store::Partition{Topic, 0},
           [this](const store::Record &Update) { Handled.insert(Update.Key); });
@@ -107,6 +107,7 @@
   standin::UsersStore Store;
   store::StoreHealth Health;
   Metrics Measured;
+  std::uint64_t MaxReadKb = 0; ///< Must be set before the first poll.
   std::optional<StoreClient> Client;
   std::optional<store::KeyedFeed<StoreClient>> Feed;
   std::set<std::string> Handled;
@@ -333,6 +334,41 @@
   }
 }
 
+TEST_F(StorePages, ValueLargerThanAReadLeavesOthersInUse) {
+  MaxReadKb = 64;
+  for (const auto Fault : {standin::ReadFault::None, standin::ReadFault::Cut}) {
+    Store.remove(Topic);
+    Feed.reset();
+    Store.ReadsFail = Fault;
+    fill(0, "");
+    ASSERT_EQ(poll(), std::nullopt);
+    put("t-1", "moved");
+    put("e&", std::string(200'000, 'x'));
+    put("t-2", "moved");
+    for (int I = 0; I < 3; ++I) {
+      ASSERT_EQ(poll(), std::nullopt);
+    }
+    EXPECT_EQ(Feed->value("t-1"), "moved");
+    EXPECT_EQ(Feed->value("t-2"), "moved");
+    EXPECT_EQ(Feed->nextOffset(), 5U);
+  }
+}
+
+// The offset that the text was taken for lay behind all records.
+TEST_F(StorePages, ReadThatReturnsATextIsNotUsed) {
+  fill(0, "");
+  ASSERT_EQ(poll(), std::nullopt);
+  Store.ReadsFail = standin::ReadFault::Text;
+  EXPECT_NE(poll(), std::nullopt);
+  Store.ReadsFail = standin::ReadFault::None;
+  put("t-1", "moved");
+  Store.Pages = 0;
+  (void)poll();
+  EXPECT_EQ(Feed->value("t-1"), "moved");
+  EXPECT_EQ(Feed->nextOffset(), 3U);
+  EXPECT_EQ(Store.Pages, 0U);
+}
+
 TEST_F(StorePages, KeyThatIsTooLongToWriteIsAnError) {
   std::optional<std::string> Failure;
   (void)poll();
