store: an answer without a readable era begins no era

Callers saw (by reading): after one answer of the store without `Store-Era`, or with a value that is no number, each reader forgot all positions and read its list anew, twice, and budgets waited up to 3.5 s as after a restore.

Cause: an absent era was zero and any text was converted as far as it went, so `-1` was 2^64 - 1; both differ from the known era.

Once the store has stated an era, an answer without a readable one is an error, after an append one that may have run. A store that never states one is era zero, as before. The bound is the one that VMs accept from each other.

--- a/src/goldcrestnotch/store/log.hpp
+++ b/src/goldcrestnotch/store/log.hpp
@@ -30,6 +30,9 @@
 /// are lost, and their offsets are given out again. Offsets of different eras
 /// therefore can't be compared; a position of a later era is the newer one.
 struct Position {
+  /// Largest era or offset that a store can reach.
+  static constexpr std::uint64_t Max = std::uint64_t{1} << 62U;
+
   std::uint64_t Era = 0; ///< Zero if the store states none.
   std::uint64_t Offset = 0;
 
@@ -120,7 +123,7 @@
 };
 
 /// @brief The times of the store's last answer to this VM and of the last
-/// failed call.
+/// failed call, and whether its answers state an era.
 class StoreHealth {
 public:
   /// @brief Whether a call has failed within a span before now.
@@ -133,6 +136,11 @@
     return Now - LastAnswer >= Span;
   }
 
+  /// @brief Whether an answer of the store has stated its era.
+  [[nodiscard]] bool statesEra() const noexcept { return EraStated; }
+
+  /// @brief Records that an answer stated the era.
+  void observeEra() noexcept { EraStated = true; }
   /// @brief Records that the store answered a call.
   void observeAnswer(Instant Now) noexcept { LastAnswer = Now; }
   /// @brief Records that a call failed.
@@ -141,6 +149,7 @@
 private:
   Instant LastAnswer{};
   Instant LastFailure{};
+  bool EraStated = false;
 };
 
 } // namespace goldcrestnotch::store
--- a/test/adapter/store_pages_test.cpp
+++ b/test/adapter/store_pages_test.cpp
@@ -369,6 +369,35 @@
   EXPECT_EQ(Store.Pages, 0U);
 }
 
+// Readers forgot all positions, and budgets waited as after a restore.
+TEST_F(StorePages, AnswerWithoutAReadableEraIsNotUsed) {
+  fill(0, "");
+  ASSERT_EQ(poll(), std::nullopt);
+  Handled.clear();
+  for (const auto *Text : {"", "x", "1x", "-1", "+1", "1 1", "1,1", "0x1",
+                           "18446744073709551615", "99999999999999999999999"}) {
+    Store.stateEra(Text);
+    EXPECT_NE(poll(), std::nullopt) << Text;
+    EXPECT_EQ(Feed->era(), 1U) << Text;
+  }
+  Store.stateEra(std::nullopt);
+  put("t-1", "moved");
+  EXPECT_EQ(poll(), std::nullopt);
+  EXPECT_EQ(Handled, std::set<std::string>{"t-1"});
+}
+
+TEST_F(StorePages, StoreThatHasStatedNoEraIsRead) {
+  Store.stateEra("");
+  fill(0, "");
+  ASSERT_EQ(poll(), std::nullopt);
+  EXPECT_TRUE(knowsTargets());
+  EXPECT_EQ(Feed->era(), 0U);
+  Store.stateEra(std::nullopt);
+  ASSERT_EQ(poll(), std::nullopt);
+  EXPECT_TRUE(knowsTargets());
+  EXPECT_EQ(Feed->era(), 1U);
+}
+
 TEST_F(StorePages, KeyThatIsTooLongToWriteIsAnError) {
   std::optional<std::string> Failure;
   (void)poll();
