store: a load goes on with the page that failed

Cause: an error of one page discarded the load. With every second call turned away, a list of two pages is never loaded.

A load now keeps what it has read and goes on after the last page, as long as the store's era is the same and reads of the history have not come further. Reading goes on from the end as of the first page, as in a load without a failure, so changes to earlier pages are not missed. Eras are told apart by a count: one that another VM only claimed and that ended again has forgotten the records as well.

BusyFeed.LoadGoesOnWithThePageThatFailed failed on: after ten polls not loaded, 1 of 5 keys known. The other three BusyFeed tests, which guard what must not go on, failed with it, since nothing was loaded.

--- a/src/goldcrestnotch/store/keyed_feed.hpp
+++ b/src/goldcrestnotch/store/keyed_feed.hpp
@@ -182,48 +182,82 @@
     NextOffset = 0;
     KnownEnd = 0;
     Loaded = false;
+    Unfinished.reset();
+    ++ErasEntered;
     Era = Current;
   }
 
-  /// @brief Reads the newest record of each key, page by page.
+  /// @brief A load of the newest records, as far as it has come.
+  struct Load {
+    Instant Begin;
+    std::uint64_t End;  ///< End of the partition as of the first page.
+    std::uint64_t Eras; ///< `ErasEntered` when it began.
+    NewestResult Page;  ///< The last page that was read.
+    std::set<std::string> Present; ///< Keys of all pages so far.
+    bool KeysSkipped = false;
+    bool Broken = false; ///< No page leads on though there are more.
+  };
+
+  /// @brief Reads the newest record of each key, page by page. A page that
+  /// fails is where the next call goes on: a store that turns some calls away
+  /// would otherwise keep long lists from being read at all.
   void load(boost::asio::yield_context Yield) {
+    // Reads of the history may have come further since.
+    const bool GoesOn = Unfinished && Unfinished->End >= NextOffset;
+    auto Current = GoesOn ? std::move(*Unfinished) : beginLoad(Yield);
+    Unfinished.reset();
+    try {
+      while (Current.Page.More && !Current.Broken &&
+             Current.Eras == ErasEntered) {
+        readNextPage(Yield, Current);
+      }
+    } catch (const StoreError &) {
+      if (Current.Eras == ErasEntered) {
+        Unfinished = std::move(Current);
+      }
+      throw;
+    }
+    if (Current.Eras == ErasEntered) { // Otherwise its records are forgotten.
+      finish(Current);
+    }
+  }
+
+  [[nodiscard]] Load beginLoad(boost::asio::yield_context Yield) {
     const auto Begin = DecisionClock::now();
     auto Page = Source.newest(Yield, Followed, {});
     if (Page.Era != Era) {
       switchEra(Page.Era);
     }
-    // Later pages may miss changes to keys of earlier ones, so reading goes on
-    // from the end as of the first page.
-    const auto LoadEnd = Page.End;
-    const auto LoadEra = Era;
-    std::set<std::string> Present;
-    (void)applyPage(Page, Present);
-    bool KeysSkipped = false;
-    bool Broken = false;
-    while (Page.More && !Broken) {
-      auto Next = pageAfter(Yield, Page.LastExactKey, Present);
-      if (!Next && Era == LoadEra) {
-        Next = pageAfter(Yield, Page.KeyBehindLast, Present);
-        KeysSkipped = true;
-      }
-      if (Era != LoadEra) {
-        return; // The pages before belong to another era; not loaded yet.
-      }
-      Broken = !Next;
-      Page = std::move(Next).value_or(NewestResult{});
+    Load Result{Begin, Page.End, ErasEntered, std::move(Page), {}};
+    (void)applyPage(Result.Page, Result.Present);
+    return Result;
+  }
+
+  void readNextPage(boost::asio::yield_context Yield, Load &Current) {
+    auto Next = pageAfter(Yield, Current.Page.LastExactKey, Current.Present);
+    if (!Next && Current.Eras == ErasEntered) {
+      Next = pageAfter(Yield, Current.Page.KeyBehindLast, Current.Present);
+      Current.KeysSkipped = true;
     }
+    Current.Broken = !Next;
+    Current.Page = std::move(Next).value_or(NewestResult{});
+  }
+
+  void finish(const Load &Done) {
     ReloadDeadline =
-        Broken ? DecisionClock::now() + ReloadInterval : Instant::max();
-    if (KeysSkipped) {
-      reportPartial(Present.size(), Broken);
+        Done.Broken ? DecisionClock::now() + ReloadInterval : Instant::max();
+    if (Done.KeysSkipped) {
+      reportPartial(Done.Present.size(), Done.Broken);
     }
-    if (!Broken) {
-      deleteMissing(Present, LoadEnd, KeysSkipped);
+    if (!Done.Broken) {
+      deleteMissing(Done.Present, Done.End, Done.KeysSkipped);
     }
-    NextOffset = LoadEnd;
-    ProvenAt = std::max(ProvenAt, Begin);
+    // Later pages may miss changes to keys of earlier ones, so reading goes on
+    // from the end as of the first page.
+    NextOffset = Done.End;
+    ProvenAt = std::max(ProvenAt, Done.Begin);
     Loaded = true;
-    if (!Broken) {
+    if (!Done.Broken) {
       reportLost();
     }
   }
@@ -329,6 +363,8 @@
   std::uint64_t KnownEnd = 0;
   Instant ProvenAt{};
   std::uint64_t PartialLoads = 0;
+  std::uint64_t ErasEntered = 0;  ///< Tells eras apart that come again.
+  std::optional<Load> Unfinished; ///< A load of which a page failed.
   Instant ReloadDeadline = Instant::max(); ///< After a load that broke off.
   bool Loaded = false;
   bool WholeListRequired = false;
--- a/test/goldcrestnotch/store/keyed_feed_test.cpp
+++ b/test/goldcrestnotch/store/keyed_feed_test.cpp
@@ -196,5 +196,107 @@
   EXPECT_TRUE(Followed.Feed.loaded());
 }
 
+/// @brief A list of pages of one entry. The store turns away every second call.
+class BusyLog {
+public:
+  ReadResult read(boost::asio::yield_context, const Partition &,
+                  std::uint64_t Offset, Millis) {
+    ReadResult Result;
+    Result.Era = Era;
+    Result.Next = std::max<std::uint64_t>(Offset, Keys.size());
+    Result.End = Result.Next;
+    return Result;
+  }
+  NewestResult newest(boost::asio::yield_context, const Partition &,
+                      const std::string &AfterKey) {
+    if (++Calls % 2 == 0) {
+      throw StoreError{"log-newest returned status 429", false};
+    }
+    NewestResult Result;
+    Result.Era = Era;
+    Result.End = Keys.size();
+    const auto Next = std::upper_bound(Keys.begin(), Keys.end(), AfterKey);
+    if (Next != Keys.end()) {
+      const auto Offset =
+          static_cast<std::uint64_t>(std::distance(Keys.begin(), Next));
+      Result.Records.push_back({Offset, *Next, "value", Era});
+      Result.LastExactKey = *Next;
+      Result.More = std::next(Next) != Keys.end();
+    }
+    return Result;
+  }
+  AppendResult append(boost::asio::yield_context, const Partition &,
+                      std::uint64_t, const std::vector<Record> &) {
+    return {};
+  }
+
+  std::vector<std::string> Keys{"a", "b", "c", "d", "e"};
+  std::uint64_t Era = 1;
+  int Calls = 0;
+};
+
+class BusyFeed : public testing::Test {
+protected:
+  /// @return Whether the poll ended without an error.
+  bool poll() {
+    bool Succeeded = false;
+    boost::asio::io_context Loop;
+    boost::asio::spawn(Loop, [&](boost::asio::yield_context Yield) {
+      try {
+        Feed.poll(Yield, Millis{0});
+        Succeeded = true;
+      } catch (const StoreError &) {
+        Succeeded = false;
+      }
+    });
+    Loop.run();
+    return Succeeded;
+  }
+
+  BusyLog Log;
+  KeyedFeed<BusyLog> Feed{Log, {"keyed.any", 0}, [](const Record &) {}};
+};
+
+// Each page that failed discarded those before it, so the end was not reached.
+TEST_F(BusyFeed, LoadGoesOnWithThePageThatFailed) {
+  for (int I = 0; I < 2 * static_cast<int>(Log.Keys.size()); ++I) {
+    (void)poll();
+  }
+  EXPECT_TRUE(Feed.loaded());
+  EXPECT_EQ(Feed.recordsSince({}).size(), Log.Keys.size());
+}
+
+TEST_F(BusyFeed, LoadDoesNotGoOnInAnotherEra) {
+  EXPECT_FALSE(poll());
+  Log.Keys.erase(Log.Keys.begin());
+  ++Log.Era;
+  for (int I = 0; I < 4 * static_cast<int>(Log.Keys.size()); ++I) {
+    (void)poll();
+  }
+  EXPECT_TRUE(Feed.loaded());
+  EXPECT_EQ(Feed.recordsSince({}).size(), Log.Keys.size());
+  EXPECT_EQ(Feed.value("a"), std::nullopt);
+}
+
+TEST_F(BusyFeed, LoadDoesNotGoOnAfterAnEraThatOnlyAnotherVmClaimed) {
+  EXPECT_FALSE(poll());
+  Feed.apply({9, "wrong", "value", 1'000});
+  for (int I = 0; I < 4 * static_cast<int>(Log.Keys.size()); ++I) {
+    (void)poll();
+  }
+  EXPECT_EQ(Feed.recordsSince({}).size(), Log.Keys.size());
+}
+
+TEST_F(BusyFeed, KeyDeletedWhileALoadWaitsToGoOnIsMissing) {
+  EXPECT_FALSE(poll());
+  Feed.apply({7, "a", std::nullopt, Log.Era});
+  for (int I = 0; I < 2 * static_cast<int>(Log.Keys.size()); ++I) {
+    (void)poll();
+  }
+  EXPECT_TRUE(Feed.loaded());
+  EXPECT_EQ(Feed.value("a"), std::nullopt);
+  EXPECT_EQ(Feed.value("e"), "value");
+}
+
 } // namespace
 } // namespace goldcrestnotch::store
