proxy: a rate limit that can't be read leaves the one before in force

Callers saw: a target that had stated a limit of 2 requests a second and then a text in its place got 579 requests in 4 s from three VMs, where 17 are allowed.

Cause: a field that can't be read was taken for none, and an answer without the field ends the limit.

Now the field ends a limit only by its absence.

--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -640,10 +640,26 @@
          view(Remote.fields()[wire::field::content_type]) == StreamContentType;
 }
 
+void Exchange::reportUnreadable(Upstream &Remote, std::string_view Event) {
+  if (const auto Omitted =
+          Context.UnreadableFieldLines.admit(DecisionClock::now())) {
+    log(LogLevel::Warn, Event,
+        {{"target", Remote.target().Registered.Name.str()},
+         {"left_out", *Omitted}});
+  }
+}
+
 void Exchange::recordRateLimit(Upstream &Remote) {
   const auto &Fields = Remote.fields();
-  const auto Stated =
-      RequestRate::parse(view(Fields[Context.Headers.RateLimit]));
+  const auto Field = Fields.find(Context.Headers.RateLimit);
+  const auto Stated = Field == Fields.end()
+                          ? std::nullopt
+                          : RequestRate::parse(view(Field->value()));
+  if (Field != Fields.end() && !Stated) {
+    // The target is limited still; what it stated before holds.
+    reportUnreadable(Remote, "target.limit_unreadable");
+    return;
+  }
   // Another target that answers at the address says nothing about this one, nor
   // does a response without a signature.
   const bool FromTarget =
@@ -671,7 +687,7 @@
   const auto Name = Remote.target().Registered.Name.str();
   const auto Wait = parseRetryAfter(Text, std::chrono::system_clock::now());
   if (!Wait) {
-    log(LogLevel::Warn, "target.retry_after_unreadable", {{"target", Name}});
+    reportUnreadable(Remote, "target.retry_after_unreadable");
     return;
   }
   // VMs that were refused at the same moment must not return at the same one.
@@ -697,8 +713,7 @@
   const auto Limit = RequestRate::parse(Text);
   const auto &Registered = Remote.target().Registered;
   if (!Limit) {
-    log(LogLevel::Warn, "target.brittle_unreadable",
-        {{"target", Registered.Name.str()}});
+    reportUnreadable(Remote, "target.brittle_unreadable");
   }
   // A limit that can't be read is taken for the strictest one.
   const auto Pause = backend::rejectionPause(Limit ? Limit->perSecond() : 0);
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -127,8 +127,11 @@
   /// @brief Until when the request may wait for a permit.
   [[nodiscard]] Instant permitDeadline() const;
   void waitFor(Millis Duration);
+  /// @brief Logs that a field in the head of a response can't be read; some
+  /// lines a second, since all responses of a target may have it.
+  void reportUnreadable(Upstream &Remote, std::string_view Event);
   /// @brief Records the rate limit that the head of a response states, or that
-  /// it states none.
+  /// it states none. One that can't be read changes nothing.
   void recordRateLimit(Upstream &Remote);
   /// @brief Takes the time for which a target that refused wants no requests.
   void recordRetryAfter(Upstream &Remote);
--- a/src/goldcrestnotch/proxy/proxy_context.hpp
+++ b/src/goldcrestnotch/proxy/proxy_context.hpp
@@ -97,6 +97,7 @@
   /// Of responses that callers did not get whole; lines about other requests
   /// must not use up their share.
   LineLimit CutLines{MaxCutLines};
+  LineLimit UnreadableFieldLines{MaxUnreadableLines}; ///< Of responses.
   std::mt19937_64 Random{std::random_device{}()};
 
   /// @brief Ends the attempts whose callers have no part of a response and
--- a/test/platform/rate_limit_test.cpp
+++ b/test/platform/rate_limit_test.cpp
@@ -94,6 +94,21 @@
   EXPECT_EQ(WronglyRefused, 0);
 }
 
+// A field that could not be read ended the limit.
+TEST(PlatformRateLimit, LimitHoldsWhileWhatTheTargetStatesCannotBeRead) {
+  constexpr double Rate = 2;
+  Fleet TestFleet{2, VmCount};
+  ASSERT_NO_FATAL_FAILURE(waitUntilAllAreReady(TestFleet));
+  TestFleet.replica(0).RateLimit = Rate;
+  const auto Ignore = [](const CallResult &) {};
+  const auto Begin = DecisionClock::now();
+  sendOrders(TestFleet, ReactionTime, Millis{20}, Ignore);
+  TestFleet.replica(0).RateLimitIsText = true;
+  sendOrders(TestFleet, Window + Window, Millis{20}, Ignore);
+  EXPECT_LE(TestFleet.replica(0).mostArrivals(Window, Begin + ReactionTime),
+            allowedArrivals(Rate));
+}
+
 TEST(PlatformRateLimit, LimitThatIsWithdrawnEndsOnAllVms) {
   Fleet TestFleet{1, VmCount};
   ASSERT_NO_FATAL_FAILURE(waitUntilAllAreReady(TestFleet));
