proxy: a target leaves only if it says `1`

Callers saw: targets that answered with `Server-Leaving: 0` got no request any more, from no VM, until they started again; if all did, nothing was served.

Cause: the field with any value was taken for the notice.

--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -727,9 +727,9 @@
 }
 
 void Exchange::recordTargetState(Upstream &Remote) {
+  const auto Text = view(Remote.fields()[Context.Headers.Leaving]);
   // Status 421 comes from another target at the address.
-  if (Remote.status() == 421 ||
-      Remote.fields()[Context.Headers.Leaving].empty()) {
+  if (Remote.status() == 421 || Text != Context.Headers.LeavingText) {
     return;
   }
   const auto &Registered = Remote.target().Registered;
--- a/src/goldcrestnotch/proxy/header_names.hpp
+++ b/src/goldcrestnotch/proxy/header_names.hpp
@@ -43,6 +43,7 @@
                                ///< from all VMs together.
   std::string Leaving;         ///< Set by a target that accepts no new
                                ///< requests.
+  std::string LeavingText;     ///< Value of that field.
   std::string Brittle;         ///< Rejections per second for lack of room
                                ///< that a target survives.
   std::string Workspace;       ///< Workspace of the key that the caller used.
--- a/standin/users_replica.cpp
+++ b/standin/users_replica.cpp
@@ -99,8 +99,8 @@
     Reply.Fields[RateLimitHeader] =
         RateLimitIsText ? "none" : std::to_string(Stated);
   }
-  if (Leaving) {
-    Reply.Fields["Server-Leaving"] = "1";
+  if (Leaving || Staying) {
+    Reply.Fields["Server-Leaving"] = Leaving ? "1" : "0";
   }
   if (const int Limit = Brittle; Limit > 0) {
     Reply.Fields["Server-Brittle"] = std::to_string(Limit);
--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -97,6 +97,8 @@
   std::atomic<bool> RateLimitIsText{false};
   /// Whether the replica says in all its responses that it leaves.
   std::atomic<bool> Leaving{false};
+  /// Whether the replica says in all its responses that it does not leave.
+  std::atomic<bool> Staying{false};
   /// Rejections per second that the replica says it survives; none if zero.
   std::atomic<int> Brittle{0};
   /// Seconds for which the replica asks for no requests; while it is not zero,
--- a/test/platform/target_notice_test.cpp
+++ b/test/platform/target_notice_test.cpp
@@ -86,6 +86,18 @@
   EXPECT_TRUE(isLeftOut(0));
 }
 
+// A field with any value was taken for the notice, and no target was left.
+TEST_F(PlatformTargetNotice, TargetsThatSayTheyDoNotLeaveAreUsed) {
+  for (int I = 0; I < TestFleet.replicaCount(); ++I) {
+    TestFleet.replica(I).Staying = true;
+  }
+  EXPECT_TRUE(receives(0, 0));
+  std::this_thread::sleep_for(NoticeTime);
+  for (int Vm = 0; Vm < VmCount; ++Vm) {
+    EXPECT_TRUE(receives(0, Vm));
+  }
+}
+
 TEST_F(PlatformTargetNotice, LaterRecordDoesNotBringALeavingTargetBack) {
   TestFleet.replica(0).Leaving = true;
   EXPECT_TRUE(receives(0, 0));
