Logs: five lines a second about records that can't be read

Callers saw nothing; operators saw 1,200 lines each of `move.unreadable`, `escrow.unknown_key` and `escrow.unreadable` within a second of a start beside 1,200 foreign entries. A pipe whose reader is slow drops the others.

The lines that odd targets and members cause were bounded; these, and `store.record_rejected`, were not. They now say with `left_out` how many were not written. The bound of the budgets is one a partition.

--- a/src/goldcrestnotch/escrow/partition_sync.hpp
+++ b/src/goldcrestnotch/escrow/partition_sync.hpp
@@ -16,6 +16,7 @@
 #include "goldcrestnotch/escrow/restored_records.hpp"
 #include "goldcrestnotch/escrow/token_holder.hpp"
 #include "goldcrestnotch/store/keyed_feed.hpp"
+#include "goldcrestnotch/telemetry/line_limit.hpp"
 #include "goldcrestnotch/telemetry/log.hpp"
 
 namespace goldcrestnotch::escrow {
@@ -216,14 +217,20 @@
   void apply(const store::Record &Update) {
     const auto Name = HolderName::parse(Update.Key);
     if (!Name) {
-      log(LogLevel::Warn, "escrow.unknown_key", {{"key", Update.Key}});
+      if (const auto Omitted = UnknownLines.admit(DecisionClock::now())) {
+        log(LogLevel::Warn, "escrow.unknown_key",
+            {{"key", Update.Key}, {"left_out", *Omitted}});
+      }
       return;
     }
     std::optional<HolderRecord> Record;
     if (Update.Value) {
       Record = decodeRecord(*Update.Value);
       if (!Record) {
-        log(LogLevel::Error, "escrow.unreadable", {{"key", Update.Key}});
+        if (const auto Omitted = UnreadableLines.admit(DecisionClock::now())) {
+          log(LogLevel::Error, "escrow.unreadable",
+              {{"key", Update.Key}, {"left_out", *Omitted}});
+        }
         return;
       }
       logImpossible(Update.Key, *Record);
@@ -243,6 +250,8 @@
   TokenHolder &Holder;
   PartitionSyncSettings Settings;
   store::KeyedFeed<Log> Feed;
+  LineLimit UnknownLines{MaxUnreadableLines};
+  LineLimit UnreadableLines{MaxUnreadableLines};
   std::uint64_t LastCondition = 0; ///< Of the last append.
   Instant HeartbeatDeadline{};
   std::optional<std::uint64_t> Era; ///< Of the store; absent before a read.
--- a/src/goldcrestnotch/store/keyed_feed.hpp
+++ b/src/goldcrestnotch/store/keyed_feed.hpp
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "goldcrestnotch/store/log.hpp"
+#include "goldcrestnotch/telemetry/line_limit.hpp"
 #include "goldcrestnotch/telemetry/log.hpp"
 
 namespace goldcrestnotch::store {
@@ -156,10 +157,13 @@
       if (WholeListRequired) {
         throw;
       }
-      log(LogLevel::Error, "store.record_rejected",
-          {{"topic", Followed.Topic},
-           {"key", Update.Key},
-           {"cause", std::string{Failure.what()}}});
+      if (const auto Omitted = RejectedLines.admit(DecisionClock::now())) {
+        log(LogLevel::Error, "store.record_rejected",
+            {{"topic", Followed.Topic},
+             {"key", Update.Key},
+             {"cause", std::string{Failure.what()}},
+             {"left_out", *Omitted}});
+      }
     }
   }
 
@@ -366,6 +370,7 @@
   std::uint64_t ErasEntered = 0;  ///< Tells eras apart that come again.
   std::optional<Load> Unfinished; ///< A load of which a page failed.
   Instant ReloadDeadline = Instant::max(); ///< After a load that broke off.
+  LineLimit RejectedLines{MaxUnreadableLines};
   bool Loaded = false;
   bool WholeListRequired = false;
 };
--- a/test/platform/odd_names_test.cpp
+++ b/test/platform/odd_names_test.cpp
@@ -144,6 +144,33 @@
             static_cast<std::size_t>(VmCount));
 }
 
+// Thousands of lines at a start hid the others.
+TEST_F(PlatformForeignEntry, GetsFewLinesInTheLog) {
+  constexpr std::int64_t MaxLinesPerSecond = 5;
+  for (int I = 0; I < ForeignEntries; ++I) {
+    const auto Name = nameOf(I, " &");
+    TestFleet.Store.put("keyed.op", "rollout/" + Name, "not an order");
+    TestFleet.Store.put("keyed.escrow", Name, "not a record");
+    TestFleet.Store.put("keyed.escrow", Name + "/1", "not a record");
+  }
+  const auto Begin = DecisionClock::now();
+  restartAll();
+  expectService();
+  const auto Seconds =
+      (DecisionClock::now() - Begin) / std::chrono::seconds{1} + 1;
+  for (const auto *Event :
+       {"move.unreadable", "escrow.unknown_key", "escrow.unreadable"}) {
+    const auto Output = TestFleet.daemon(0).output();
+    std::int64_t Lines = 0;
+    for (auto I = Output.find(Event); I != std::string::npos;
+         I = Output.find(Event, I + 1)) {
+      ++Lines;
+    }
+    EXPECT_GT(Lines, 0) << Event;
+    EXPECT_LE(Lines, MaxLinesPerSecond * (Seconds + 1)) << Event;
+  }
+}
+
 TEST_F(PlatformForeignEntry, DoesNoHarmWhenTheStoreComesBackFromACopy) {
   TestFleet.Store.takeCopy();
   addForeignEntries(TargetTopic, "&+#%", "not a registration");
