--- a/test/adapter/codec_test.cpp
+++ b/test/adapter/codec_test.cpp
@@ -233,6 +233,18 @@
   EXPECT_EQ(workspacesOf(Names), Names);
 }
 
+TEST(Codec, EntryThatIsNestedDeeplyIsNotUsed) {
+  constexpr std::size_t Depth = 250'000;
+  for (const auto &Text : {std::string(Depth, '['),
+                           std::string(Depth, '[') + std::string(Depth, ']')}) {
+    EXPECT_FALSE(decodeRegistration("t", Text));
+    EXPECT_FALSE(decodeMoveStatus(Text));
+    EXPECT_THROW((void)decodeMoveOrder("rollout/s", Text),
+                 std::invalid_argument);
+    EXPECT_THROW((void)decodeConfiguration(Text), std::invalid_argument);
+  }
+}
+
 // The address goes into the request line of relay requests.
 TEST(Codec, TargetWhoseAddressHoldsMoreThanAnAddressIsNone) {
   using namespace std::string_literals;
--- a/test/platform/odd_names_test.cpp
+++ b/test/platform/odd_names_test.cpp
@@ -144,6 +144,25 @@
             static_cast<std::size_t>(VmCount));
 }
 
+TEST_F(PlatformForeignEntry, DoesNoHarmToAVmThatLearnsOfItFromAnother) {
+  for (const auto *Topic : {TargetTopic, "keyed.op", "keyed.roster"}) {
+    addForeignEntries(Topic, " &+#%\xff", "\x01\xff{not a record");
+  }
+  std::this_thread::sleep_for(Millis{1'500}); // All VMs have read them.
+  TestFleet.Store.Down = true;
+  TestFleet.daemon(1).signal(SIGKILL);
+  ASSERT_TRUE(TestFleet.daemon(1).wait(2'000));
+  TestFleet.start(1);
+  ASSERT_TRUE(TestFleet.waitUntilReady(1));
+  EXPECT_TRUE(TestFleet.eventually([&] {
+    return TestFleet
+               .call({"/chat/1", "key-1", "c" + std::to_string(++Calls),
+                      "100,30", "4000"},
+                     1)
+               .Status == 200;
+  }));
+}
+
 // Thousands of lines at a start hid the others.
 TEST_F(PlatformForeignEntry, GetsFewLinesInTheLog) {
   constexpr std::int64_t MaxLinesPerSecond = 5;
@@ -187,5 +206,88 @@
   expectService();
 }
 
+/// @brief A configuration whose names hold characters that queries, paths and
+/// headers could take for more, and fields of a later version.
+class PlatformOddConfiguration : public PlatformOddName {
+protected:
+  static constexpr const char *OddName = "a b&c+d#e%f";
+  static constexpr std::int64_t Prepaid = 10'000;
+  static constexpr std::int64_t ChatTokens = 130;
+
+  void SetUp() override {
+    const json Later{{"kind", {1, nullptr}}};
+    auto Config = json::parse(*TestFleet.Store.value("keyed.op", "config"));
+    Config["version"] = 2;
+    Config["later"] = Later;
+    Config["limits"]["later"] = Later;
+    for (auto &Route : Config["routes"]) {
+      Route["later"] = Later;
+      Route["name"] = OddName + Route["name"].get<std::string>();
+      Route["service"] = OddName;
+    }
+    Config["routes"][0]["pathPrefix"] = "/a&b+c%25d%20e/";
+    Config["services"][0]["name"] = OddName;
+    Config["services"][0]["later"] = Later;
+    Config["services"][0]["engine"]["later"] = Later;
+    Config["tenants"][0]["name"] = OddName;
+    Config["tenants"][0]["prepaid"] = Prepaid;
+    Config["tenants"][0]["later"] = Later;
+    for (int I = 0; I < TestFleet.replicaCount(); ++I) {
+      const auto &Replica = TestFleet.replica(I);
+      TestFleet.Store.put(TargetTopic, Replica.name(),
+                          Replica.entry(OddName, "ready"));
+    }
+    TestFleet.Store.put("keyed.op", "config", Config.dump());
+    restartAll();
+    for (int Vm = 0; Vm < VmCount; ++Vm) {
+      ASSERT_TRUE(TestFleet.waitUntilReady(Vm));
+    }
+  }
+  [[nodiscard]] int chat(int Vm) {
+    return TestFleet
+        .call({"/a&b+c%25d%20e/1", "key-1", "d" + std::to_string(++Calls),
+               "100,30", "4000"},
+              Vm)
+        .Status;
+  }
+};
+
+TEST_F(PlatformOddConfiguration, IsServedUnderItsNames) {
+  for (int Vm = 0; Vm < VmCount; ++Vm) {
+    EXPECT_EQ(chat(Vm), 200);
+  }
+  for (int I = 0; I < TestFleet.replicaCount(); ++I) {
+    if (TestFleet.replica(I).runs() > 0) {
+      EXPECT_EQ(TestFleet.replica(I).lastHeaders()["X-Goldcrestnotch-Tenant"],
+                OddName);
+    }
+  }
+}
+
+TEST_F(PlatformOddConfiguration, LendsTheBudgetBetweenVms) {
+  // What a request isn't owed for: three in a hundred, and its own tokens.
+  constexpr auto MinConsumed = Prepaid * 97 / 100 - ChatTokens;
+  for (int Refused = 0; Refused < 60;) {
+    for (int Vm = 0; Vm < VmCount; ++Vm) {
+      Refused = chat(Vm) == 200 ? 0 : Refused + 1;
+    }
+  }
+  const auto Consumed =
+      static_cast<std::int64_t>(TestFleet.runs()) * ChatTokens;
+  EXPECT_LE(Consumed, Prepaid);
+  EXPECT_GE(Consumed, MinConsumed);
+}
+
+TEST_F(PlatformOddConfiguration, ServiceIsMoved) {
+  const auto Key = "rollout/" + std::string{OddName};
+  TestFleet.Store.put(
+      "keyed.op", Key,
+      json{{"service", OddName}, {"target", "v2"}, {"durationS", 30}}.dump());
+  EXPECT_TRUE(TestFleet.eventually([&] {
+    const auto Status = TestFleet.Store.value("keyed.status", Key);
+    return Status && json::parse(*Status).at("target") == "v2";
+  }));
+}
+
 } // namespace
 } // namespace platform_test
