store: a wrong end of the own records is corrected by the next one

Callers saw (by reading): a VM that had taken records of a later era than the store's from another VM, whose build reads any text as an era, did not count as behind any more, however old its configuration was; it answered 404 by it.

Cause: the greatest end was kept, though the feed itself goes back when the store corrects the era. Within an era the end never falls, so the newest one can be taken as it is.

--- a/src/goldcrestnotch/store/view_freshness.hpp
+++ b/src/goldcrestnotch/store/view_freshness.hpp
@@ -50,7 +50,7 @@
   /// @param End The newest known position plus one.
   void observeOwn(Instant When, Position End) noexcept {
     ProvenAt = std::max(ProvenAt, When);
-    OwnEnd = std::max(OwnEnd, End);
+    OwnEnd = End;
     if (!behind()) {
       ProvenAt = std::max(ProvenAt, OthersProvenAt);
     }
--- a/test/goldcrestnotch/store/view_freshness_test.cpp
+++ b/test/goldcrestnotch/store/view_freshness_test.cpp
@@ -53,6 +53,16 @@
   EXPECT_TRUE(View.behind());
 }
 
+// A VM that had taken records of an era that the store never entered did not
+// count as behind any more.
+TEST(ViewFreshness, OwnEndThatWasWrongIsCorrectedByTheNextOne) {
+  ViewFreshness View{MaxAge};
+  View.observeOwn(Start, {1'000, 5});
+  View.observeOwn(Start, {1, 5});
+  View.observeOther(Start + Millis{1}, {1, 6});
+  EXPECT_TRUE(View.outdated(Start + MaxAge * 2));
+}
+
 TEST(ViewFreshness, WrongReportIsCorrectedByTheNextOne) {
   ViewFreshness View{MaxAge};
   View.observeOwn(Start, {0, 5});
