loans: a reply that can't be read gives nothing

Callers saw (by reading): tokens beyond the budget, if a VM's reply to a request for tokens was cut or malformed.

Cause: the amounts were read from the reply without a look whether they were there. An amount above 64 bits becomes the largest number, which is cut to all that was asked for, though nothing was lent.

Now the three values must be readable; further ones of a later build are passed over. What the lender did give counts as spent there, as after a lost answer.

--- a/src/goldcrestnotch/escrow/loans.cpp
+++ b/src/goldcrestnotch/escrow/loans.cpp
@@ -132,15 +132,19 @@
   return Given > Tokens{} ? LoanResult::Given : LoanResult::Nothing;
 }
 
-Loans::LoanReply Loans::parseReply(const std::string &Body, Tokens Asked) {
+std::optional<Loans::LoanReply> Loans::parseReply(const std::string &Body,
+                                                  Tokens Asked) {
   std::istringstream In{Body};
   std::int64_t Given = 0;
   std::int64_t Available = 0;
   bool Exhausted = false;
-  In >> Given >> Available >> Exhausted;
-  return {std::clamp(Tokens{Given}, Tokens{}, Asked),
-          std::clamp(Tokens{Available}, Tokens{} - MaxTokens, MaxTokens),
-          Exhausted};
+  if (!(In >> Given >> Available >> Exhausted)) {
+    return std::nullopt;
+  }
+  return LoanReply{
+      std::clamp(Tokens{Given}, Tokens{}, Asked),
+      std::clamp(Tokens{Available}, Tokens{} - MaxTokens, MaxTokens),
+      Exhausted};
 }
 
 Loans::LoanReply Loans::ask(boost::asio::yield_context Yield,
@@ -170,12 +174,19 @@
       return {};
     }
     const auto Reply = parseReply(Response.Body, Amount);
-    Part.Holder.acceptLoan(Workspace, Reply.Given);
-    KnownLenders.recordReply(Part.Table, Address, Workspace, Reply.Available,
+    if (!Reply) {
+      // As in a lost answer, what the lender gave is lost to both VMs.
+      KnownLenders.markUnresponsive(Address, Now);
+      log(LogLevel::Warn, "loan.unreadable",
+          {{"peer", Address}, {"reply", Response.Body}});
+      return {};
+    }
+    Part.Holder.acceptLoan(Workspace, Reply->Given);
+    KnownLenders.recordReply(Part.Table, Address, Workspace, Reply->Available,
                              DecisionClock::now());
     Counters.count("tokens_borrowed_total",
-                   static_cast<std::uint64_t>(Reply.Given.count()));
-    return Reply;
+                   static_cast<std::uint64_t>(Reply->Given.count()));
+    return *Reply;
   } catch (const Error &Failure) {
     // Tokens that the lender gave are lost to both VMs: they count as spent
     // at the lender.
--- a/src/goldcrestnotch/escrow/loans.hpp
+++ b/src/goldcrestnotch/escrow/loans.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -86,8 +87,9 @@
                              const WorkspaceId &Workspace, Tokens Returned,
                              Tokens Used);
   /// @param Asked Amount that was asked for: a lender gives no more.
-  [[nodiscard]] static LoanReply parseReply(const std::string &Body,
-                                            Tokens Asked);
+  /// @return Nothing if the body is no reply.
+  [[nodiscard]] static std::optional<LoanReply>
+  parseReply(const std::string &Body, Tokens Asked);
 
   LoanConnections Connections;
   Shards &Partitions;
--- a/test/goldcrestnotch/escrow/loans_test.cpp
+++ b/test/goldcrestnotch/escrow/loans_test.cpp
@@ -216,6 +216,31 @@
   }
 }
 
+// An amount above 64 bits was taken for all that was asked for, though nothing
+// had been lent.
+TEST(Loans, ReplyThatCannotBeReadGivesNothing) {
+  for (const std::string Reply :
+       {"", "x", "5", "300 300", "99999999999999999999 0 0", "300x 9 0",
+        "300 99999999999999999999 0", "-300 9 0", R"({"given":300})"}) {
+    LenderAndBorrower Fixture;
+    Fixture.Server = std::make_unique<http::Server>(
+        Fixture.Loop, http::Endpoint{"127.0.0.1", 0}, http::Limits{},
+        [&Reply](http::Exchange &Exchange) {
+          http::Response Response;
+          Response.Body = Reply;
+          Exchange.reply(Response);
+        });
+    Fixture.Server->start();
+    Fixture.Borrower.WorkspaceHomes.update(
+        {{"10.0.0.1", "127.0.0.1:" + std::to_string(Fixture.Server->port()),
+          12}},
+        1);
+    EXPECT_EQ(Fixture.borrow(Tokens{300}), LoanResult::Nothing) << Reply;
+    EXPECT_EQ(Fixture.Borrower.holder().available(Workspace), Tokens{})
+        << Reply;
+  }
+}
+
 /// @brief A record that states an address to which no VM listens, as it is read
 /// from the store.
 std::optional<HolderRecord> recordWithAddress(const std::string &Text) {
