--- a/standin/users_store.hpp
+++ b/standin/users_store.hpp
@@ -75,8 +75,9 @@
   void showToReader(const std::string &Host,
                     std::map<std::string, std::string> Replacements);
 
-  /// @brief Makes answers state a text in place of the era; an empty one leaves
-  /// the header out, and nothing ends this.
+  /// @brief Makes answers state a text in place of the era.
+  /// @param Text An empty text leaves the header out; without a text, answers
+  /// state the era again.
   void stateEra(std::optional<std::string> Text);
 
   std::atomic<PageFault> PagesFail{PageFault::None};
