proxy: no promise that an order has not run after it has

Callers saw: an order was answered 503 by a target that had run it.

Cause: a response without `Not-Executed` counts as executed when the next attempt is chosen, but nothing asked the same of the status that is sent on. Server errors of a target were forwarded as they are, and statuses below 500 as a complete answer. Only refusals of the proxy itself were held against what may have run.

Ruled out: refusals of this VM (`nextStep` rejects only what was not executed), repeated or late responses (dropped by their id), and requests on routes that may be repeated, whose callers lose nothing.

`misleads` now decides for every response of a target, whichever way it comes: if the request may have run, must run at most once, and the status denies it, the caller gets 502 without the target's signature and without `Retry-After`. 502 promises nothing, and another status under the target's signature would be a lie about the target. What a target refused with `Not-Executed`, and what may be repeated, is treated as before.

`request.end` has the status of the target, and `responses_replaced_total` counts by it.

--- a/src/goldcrestnotch/core/verdict.hpp
+++ b/src/goldcrestnotch/core/verdict.hpp
@@ -37,4 +37,10 @@
   return Text == "ran" ? Verdict::Ran : Verdict::MayHaveRun;
 }
 
+/// @brief Whether an HTTP status promises that the request has not run and
+/// never will, so that callers repeat requests that must run at most once.
+[[nodiscard]] constexpr bool promisesNotRun(int Status) noexcept {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
 } // namespace goldcrestnotch
--- a/src/goldcrestnotch/proxy/attempt_plan.hpp
+++ b/src/goldcrestnotch/proxy/attempt_plan.hpp
@@ -1,13 +1,14 @@
 /// @file
 /// Decides how to proceed after an attempt that did not yield a complete
 /// response: retry at another target, or end the request with a given response.
-/// A request is rejected with 503 only if it was not executed and never will
-/// be.
+/// A caller that must not repeat a request gets a status that promises that it
+/// was not executed only if that is true, whoever chose the status.
 
 #pragma once
 
 #include <cstdint>
 
+#include "goldcrestnotch/core/verdict.hpp"
 #include "goldcrestnotch/routing/configuration.hpp"
 
 namespace goldcrestnotch::proxy {
@@ -57,6 +58,13 @@
          (State.RetryClass == routing::RetryClass::Stream && State.Resumable);
 }
 
+/// @brief Whether a response with a status would tell the caller, falsely, that
+/// a request which must run at most once can be sent again.
+[[nodiscard]] constexpr bool misleads(const AttemptState &State,
+                                      int Status) noexcept {
+  return State.MayHaveRun && !retryable(State) && promisesNotRun(Status);
+}
+
 /// Number of unreachable targets after which the request is rejected.
 inline constexpr int MaxUnreachable = 3;
 
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -768,7 +768,7 @@
     return DecisionClock::now() >= Deadline ? AttemptResult::DeadlineExceeded
                                             : AttemptResult::ResponseLost;
   }
-  if (Remote.status() >= 500) {
+  if (Remote.status() >= 500 || misleads(State, Remote.status())) {
     FailureStatus = Remote.status();
     FailureFields = Remote.fields();
     FailureBody = std::move(Body);
@@ -1115,6 +1115,12 @@
                                       (1.0 + Context.draw()))));
     return;
   case NextStep::ForwardFailure:
+    if (misleads(State, FailureStatus)) {
+      Context.Measured.count("responses_replaced_total{status=\"" +
+                             std::to_string(FailureStatus) + "\"}");
+      reject(502, "refusal_unproven");
+      return;
+    }
     ResponseStatus = FailureStatus;
     Caller.reply(Yield, FailureStatus, FailureFields, FailureBody,
                  DecisionClock::now() + internal::DefaultTimeout);
@@ -1216,6 +1222,7 @@
        {"route", MatchedRoute == nullptr ? "" : MatchedRoute->Name.str()},
        {"workspace", Workspace == nullptr ? "" : Workspace->Name.str()},
        {"status", static_cast<std::int64_t>(ResponseStatus)},
+       {"target_status", static_cast<std::int64_t>(FailureStatus)},
        {"cause", Cause},
        {"fingerprint",
         Suspects ? std::to_string(Suspects->Request.Hash) : std::string{}},
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -231,7 +231,8 @@
   /// permit was refused or targets are paused, and no other one was left.
   std::optional<Millis> PermitWait;
   AttemptResult LastResult = AttemptResult::Completed;
-  int FailureStatus = 0; ///< Status of the last server error of a target.
+  /// Status of the last failure that a target responded with; zero if none.
+  int FailureStatus = 0;
   WireFields FailureFields;
   std::string FailureBody;
   int ResponseStatus = 0; ///< Status sent to the caller; zero if none.
--- a/standin/users_replica.cpp
+++ b/standin/users_replica.cpp
@@ -118,7 +118,7 @@
     Reply.Fields["Retry-After"] = std::to_string(Seconds);
   }
   if (CurrentBehavior == Behavior::Full || RetryAfterS > 0) {
-    Reply.Status = 503;
+    Reply.Status = RetryAfterS > 0 ? 503 : RefusalStatus.load();
     Reply.Fields["X-Goldcrestnotch-Not-Executed"] = "1";
     HttpExchange.reply(Reply);
     return;
@@ -133,9 +133,9 @@
     loseConnection();
   }
   Reply.Fields["X-Goldcrestnotch-Replica-Signature"] = "signed-" + Name;
-  if (CurrentBehavior == Behavior::Failing) {
-    Reply.Status = 500;
-    HttpExchange.reply(Reply);
+  if (CurrentBehavior == Behavior::Failing &&
+      Runs % static_cast<std::uint64_t>(FailureInterval) == 0) {
+    fail(HttpExchange, std::move(Reply));
     return;
   }
   if (crashes(Request)) {
@@ -154,6 +154,15 @@
   HttpExchange.reply(Reply);
 }
 
+void UsersReplica::fail(Exchange &HttpExchange, Response Reply) {
+  Reply.Status = FailureStatus;
+  Reply.Body = "failed at " + Name;
+  if (const double Seconds = FailureRetryAfterS; Seconds > 0) {
+    Reply.Fields["Retry-After"] = std::to_string(Seconds);
+  }
+  HttpExchange.reply(Reply);
+}
+
 bool UsersReplica::respondFaulty(Exchange &HttpExchange, Response &Reply) {
   if (CurrentBehavior == Behavior::OversizedHead) {
     for (int I = 0; I < OversizedHeadFields; ++I) {
--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -25,8 +25,9 @@
   /// @brief How the replica responds to requests.
   enum class Behavior : std::uint8_t {
     Normal,
-    Full,          ///< Responds 503 and states that nothing was executed.
-    Failing,       ///< Executes the request and responds 500.
+    Full,          ///< Responds `RefusalStatus` and states that nothing was
+                   ///< executed.
+    Failing,       ///< Executes the request and responds `FailureStatus`.
     Disconnecting, ///< Executes the request and closes without a response.
     PausingStream, ///< Sends its first event and then nothing for a long time.
     TruncatingStream, ///< Closes in the middle of the third event of a stream.
@@ -104,6 +105,14 @@
   /// Seconds for which the replica asks for no requests; while it is not zero,
   /// all requests are refused with 503.
   std::atomic<double> RetryAfterS{0};
+  /// Status of the responses to requests that are refused while it is full.
+  std::atomic<int> RefusalStatus{503};
+  /// Status of the responses to requests that fail after they were executed.
+  std::atomic<int> FailureStatus{500};
+  /// While failing, every request with this number fails, the others do not.
+  std::atomic<int> FailureInterval{1};
+  /// Seconds after which failed requests may come again; none if zero.
+  std::atomic<double> FailureRetryAfterS{0};
   /// @brief What callers see of a crash.
   enum class CrashForm : std::uint8_t {
     EndBeforeHead, ///< The connection ends without a response.
@@ -133,6 +142,9 @@
   sendEndlessBody(goldcrestnotch::http::Exchange &HttpExchange,
                   const goldcrestnotch::http::Response &Head);
   void handle(goldcrestnotch::http::Exchange &HttpExchange);
+  /// @brief Responds that an executed request has failed.
+  void fail(goldcrestnotch::http::Exchange &HttpExchange,
+            goldcrestnotch::http::Response Reply);
   /// @brief Writes what the current behavior sends before or in place of the
   /// right response.
   /// @return Whether that was in its place.
--- a/test/goldcrestnotch/proxy/attempt_plan_test.cpp
+++ b/test/goldcrestnotch/proxy/attempt_plan_test.cpp
@@ -12,9 +12,11 @@
 using routing::RetryClass;
 
 constexpr std::array UnsuccessfulResults{
-    AttemptResult::Unreachable,  AttemptResult::NotExecuted,
-    AttemptResult::WrongTarget,  AttemptResult::Failed,
-    AttemptResult::ResponseLost, AttemptResult::DeadlineExceeded};
+    AttemptResult::Unreachable,      AttemptResult::TargetLeft,
+    AttemptResult::Quarantined,      AttemptResult::NotExecuted,
+    AttemptResult::WrongTarget,      AttemptResult::Failed,
+    AttemptResult::TargetSilent,     AttemptResult::ResponseLost,
+    AttemptResult::DeadlineExceeded, AttemptResult::ViewOutdated};
 
 AttemptState afterFirstAttempt(RetryClass RetryClass, bool MayHaveRun) {
   AttemptState State;
@@ -53,6 +55,26 @@
             NextStep::Retry);
 }
 
+TEST(AttemptPlan, StatusThatPromisesNotExecutedMisleadsIfItMayHaveRun) {
+  for (const auto RetryClass :
+       {RetryClass::NotIdempotent, RetryClass::Stream}) {
+    for (const int Status : {408, 421, 429, 503}) {
+      EXPECT_TRUE(misleads(afterFirstAttempt(RetryClass, true), Status));
+      EXPECT_FALSE(misleads(afterFirstAttempt(RetryClass, false), Status));
+    }
+    for (const int Status : {200, 400, 404, 500, 502, 504}) {
+      EXPECT_FALSE(misleads(afterFirstAttempt(RetryClass, true), Status));
+    }
+  }
+}
+
+TEST(AttemptPlan, NoStatusMisleadsIfTheRequestMayBeRepeated) {
+  auto Stream = afterFirstAttempt(RetryClass::Stream, true);
+  Stream.Resumable = true;
+  EXPECT_FALSE(misleads(Stream, 503));
+  EXPECT_FALSE(misleads(afterFirstAttempt(RetryClass::Idempotent, true), 503));
+}
+
 TEST(AttemptPlan, ResumesResumableStream) {
   auto State = afterFirstAttempt(RetryClass::Stream, true);
   State.Resumable = true;
--- a/test/platform/stranded_vm_test.cpp
+++ b/test/platform/stranded_vm_test.cpp
@@ -133,6 +133,25 @@
   EXPECT_EQ(serve(StrandedVm, 40), 40);
   EXPECT_EQ(TestFleet.replica(0).arrivals(Begin, Instant::max()), 0U);
 }
+
+// The caller of an order that had run was told that it had not.
+TEST_P(PlatformStrandedVm, OrderThatRanIsNotRefusedThroughAnotherVm) {
+  for (int I = 0; I < TestFleet.replicaCount(); ++I) {
+    TestFleet.replica(I).FailureStatus = 503;
+    TestFleet.replica(I).CurrentBehavior = UsersReplica::Behavior::Failing;
+  }
+  int Ran = 0;
+  for (int I = 0; I < 12; ++I) {
+    const auto Attempt = "f" + std::to_string(I);
+    const auto Answer = TestFleet.call(
+        {"/order/1", "key-1", Attempt, "", "1000", ""}, StrandedVm);
+    if (TestFleet.runsOf(Attempt) > 0) {
+      ++Ran;
+      EXPECT_EQ(Answer.Status, 502);
+    }
+  }
+  EXPECT_GT(Ran, 0);
+}
 INSTANTIATE_TEST_SUITE_P(Cuts, PlatformStrandedVm,
                          testing::Values(Cut::Hang, Cut::Refuse));
 
