entry: calls and chats that may have run are not said to be refused

Callers of the product's own interface saw the same fault: a call on a route that is not idempotent got the 408, 421, 429 or 503 of a target that had run it, with or without an `Idempotency-Key`; with one, the recorded outcome was replayed with that status. A chat that all targets refused had the verdict `not-run`, also if an earlier attempt of it had been lost.

Cause: `callerResponse` passed each status on, and `refusalError` took 429 and 503 for the word of the target. Targets of this interface have no way to state that they ran nothing.

Now such a call gets 502 `target_failed` with `may-have-run`, decided in one place behind sending, claiming and replaying. A chat may be sent again by callers and is by the VM, so its 503 `target_full` stays, with `may-have-run`. Statuses 408, 421 and 429 of calls count against the version of their target.

--- a/src/goldcrestnotch/entry/call_handler.cpp
+++ b/src/goldcrestnotch/entry/call_handler.cpp
@@ -57,7 +57,23 @@
     if (ServiceRoute.Idempotent) {
       return sendWithRetries();
     }
-    return IdempotencyKey.empty() ? sendOnce() : sendClaimed();
+    auto Response = IdempotencyKey.empty() ? sendOnce() : sendClaimed();
+    if (promisesNotRun(Response.Status)) {
+      rejectUnproven(Response.Status);
+    }
+    return Response;
+  }
+
+  /// @brief Replaces a response by which the caller would take a call that must
+  /// not run twice for one that has not run: a target can't state that.
+  [[noreturn]] void rejectUnproven(int Status) {
+    const auto StatusText = std::to_string(Status);
+    Context.host().metrics().count("responses_replaced_total{status=\"" +
+                                   StatusText + "\"}");
+    throw Error{502, "target_failed",
+                "the target responded with status " + StatusText +
+                    ", which does not tell whether the call has run"}
+        .withVerdict(Verdict::MayHaveRun);
   }
 
   /// @brief Sends an idempotent call, and retries it on another target after a
@@ -179,7 +195,7 @@
               SentAt + Context.host().settings().FirstByteTimeout);
       const bool Failed = Response.Status >= 500;
       Slot->setResult(Failed ? TargetResult::Failed : TargetResult::Good);
-      observe(Version, Failed, SentAt);
+      observe(Version, Failed || promisesNotRun(Response.Status), SentAt);
       if (Failed && ServiceRoute.Idempotent && !LastAttempt) {
         throw Error{502, "target_failed",
                     "the target answered with a server error"}
--- a/src/goldcrestnotch/entry/chat_handler.cpp
+++ b/src/goldcrestnotch/entry/chat_handler.cpp
@@ -314,15 +314,15 @@
     return Outgoing;
   }
 
-  [[nodiscard]] Error refusalError(http::ClientStream &Upstream) const {
+  [[nodiscard]] static Error refusalError(http::ClientStream &Upstream) {
     const auto Status = Upstream.head().Status;
     const bool Full =
         Status == StatusTooManyRequests || Status == StatusServiceUnavailable;
     if (Full) {
+      // The status alone does not tell that the request has not run.
       return Error{503, "target_full", "the target is at capacity"}
           .withRetryAfter(Millis{1'000})
-          .withVerdict(ReceivedStream.lastEventId() > 0 ? Verdict::MayHaveRun
-                                                        : Verdict::NotRun);
+          .withVerdict(Verdict::MayHaveRun);
     }
     return Error{Status >= 500 ? 502 : Status, "target_refused",
                  "the target responded with status " + std::to_string(Status)}
--- a/standin/engine.cpp
+++ b/standin/engine.cpp
@@ -52,6 +52,7 @@
     Switch.emplace("fail", 0);        ///< Respond 500 to every request.
     Switch.emplace("fail_one_in", 0); ///< Respond 500 to each nth request.
     Switch.emplace("fail_above", 0);  ///< Respond 500 at this load or above.
+    Switch.emplace("refuse", 0);      ///< Respond with this status.
     Switch.emplace("cut_after", 0);   ///< Close the connection after n tokens.
     Switch.emplace("silent", 0);      ///< Accept requests without a response.
     Switch.emplace("leaving", 0);
@@ -162,6 +163,11 @@
       HttpExchange.reply(answer({{"error", "the engine failed"}}, 500));
       return false;
     }
+    if (Switch.at("refuse") != 0) {
+      HttpExchange.reply(answer({{"error", "refused"}},
+                                static_cast<int>(Switch.at("refuse"))));
+      return false;
+    }
     if (Running >= Switch.at("capacity")) {
       ++OverCapacity;
       HttpExchange.reply(answer({{"error", "over capacity"}}, 500));
--- a/standin/plain_service.cpp
+++ b/standin/plain_service.cpp
@@ -26,6 +26,7 @@
                  [this](Exchange &HttpExchange) { handle(HttpExchange); }} {
     Switch.emplace("delay_ms", number(Arguments, "delay_ms", 1));
     Switch.emplace("fail", 0);
+    Switch.emplace("status", 200); ///< Of responses to executed calls.
     Switch.emplace("run_then_cut",
                    0); ///< Execute the call, then close without a response.
     Listener.start();
@@ -62,7 +63,8 @@
     HttpExchange.reply(answer({{"run", Run},
                                {"method", Request.Method},
                                {"path", Request.Path},
-                               {"body", Request.Body}}));
+                               {"body", Request.Body}},
+                              static_cast<int>(Switch.at("status"))));
   }
 
   Switches Switch;
