proxy: refusals after a run count against the version of their target

Operators saw a version completed whose targets answered 429 or 408 to all requests after running them. Cause: every status below 500 counted as a sound answer. Statuses like 404, which answer the caller, still count as sound.

--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -1025,7 +1025,9 @@
                           Result == AttemptResult::ResponseLost ||
                           Result == AttemptResult::DeadlineExceeded;
   if (MayHaveRun && (Result == AttemptResult::Completed || !OwnLinksDown)) {
-    recordEvidence(Target, Result != AttemptResult::Completed);
+    // A refusal that was passed on did not state that nothing was executed.
+    recordEvidence(Target, Result != AttemptResult::Completed ||
+                               promisesNotRun(ResponseStatus));
   }
   switch (Result) {
   case AttemptResult::Completed:
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -769,6 +769,27 @@
   EXPECT_EQ(TestFleet.replica(2).runs() + TestFleet.replica(3).runs(), BadRuns);
 }
 
+/// @brief The status with which the targets of a version answer what they have
+/// executed, and the path of the requests.
+using FalseRefusals = std::tuple<int, std::string>;
+class PlatformRefusingVersion : public testing::TestWithParam<FalseRefusals> {};
+
+// Such answers counted as sound, and the version got all traffic.
+TEST_P(PlatformRefusingVersion, IsTakenBack) {
+  const auto &[Status, Path] = GetParam();
+  Fleet TestFleet{4};
+  ASSERT_TRUE(TestFleet.waitUntilReady());
+  for (const int Number : {2, 3}) {
+    TestFleet.replica(Number).FailureStatus = Status;
+    TestFleet.replica(Number).CurrentBehavior = UsersReplica::Behavior::Failing;
+  }
+  EXPECT_EQ(runMove(TestFleet, {Path, "key-1", "v1"}), "rolled_back");
+}
+INSTANTIATE_TEST_SUITE_P(Statuses, PlatformRefusingVersion,
+                         testing::Combine(testing::Values(429, 408),
+                                          testing::Values("/stock/1",
+                                                          "/order/1")));
+
 TEST(Platform, VersionThatGeneratesSlowlyIsTakenBack) {
   Fleet TestFleet{4};
   ASSERT_TRUE(TestFleet.waitUntilReady());
