proxy: keep the `Retry-After` of a 503 whatever else it states

Targets saw: a target that answered 503 with `Retry-After` to a request that it had executed got the next requests of this VM as before, although it wants none for that time and may count two at most. Cause: the field was read only from refusals that state that nothing was executed; the bound speaks of every 503. A pause does not change what the caller of the failed request gets.

--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -600,8 +600,8 @@
   const auto &Fields = Remote.fields();
   const bool NotExecuted =
       Fields.find(Context.Headers.NotExecuted) != Fields.end();
+  recordRetryAfter(Remote);
   if (Remote.status() == 421 || NotExecuted) {
-    recordRetryAfter(Remote);
     recordRejection(Remote);
     std::string Discarded;
     if (!Remote.readAll(Discarded, MaxDiscardedBytes)) {
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -133,7 +133,8 @@
   /// @brief Records the rate limit that the head of a response states, or that
   /// it states none. One that can't be read changes nothing.
   void recordRateLimit(Upstream &Remote);
-  /// @brief Takes the time for which a target that refused wants no requests.
+  /// @brief Takes the time for which a target that responded 503 wants no
+  /// requests, whether or not it executed this one.
   void recordRetryAfter(Upstream &Remote);
   /// @brief Lets all VMs leave a target alone that rejected the request and
   /// states how few rejections it survives.
--- a/test/platform/target_notice_test.cpp
+++ b/test/platform/target_notice_test.cpp
@@ -141,6 +141,17 @@
             static_cast<std::size_t>(Limit));
 }
 
+// A target that had executed the request and asked for time got the next ones
+// as before.
+TEST_F(PlatformTargetNotice, RetryAfterOfAFailedRequestIsKept) {
+  auto &Failing = TestFleet.replica(0);
+  Failing.FailureStatus = 503;
+  Failing.FailureRetryAfterS = 10;
+  Failing.CurrentBehavior = UsersReplica::Behavior::Failing;
+  ASSERT_TRUE(receives(0, 0));
+  EXPECT_FALSE(receives(0, 0));
+}
+
 TEST_F(PlatformTargetNotice, NextRunOfATargetThatLeftIsUsed) {
   TestFleet.replica(0).Leaving = true;
   EXPECT_TRUE(receives(0, 0));
