soak: replicas that deny what they have executed

No replica of ours answered an executed request with a status that promises the opposite, so no soak could show that callers of orders got it. The checker already compares statuses and executions of orders; the new kind `replica-false-refusal` lets every second request of a replica end with 408, 429 or 503 after it ran.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -3,6 +3,7 @@
 
 #include "fault_injector.hpp"
 
+#include <array>
 #include <csignal>
 #include <stdexcept>
 #include <thread>
@@ -60,6 +61,7 @@
       {"store-link", &FaultInjector::disruptStoreLink},
       {"vm-store-link", &FaultInjector::disruptVmStoreLink},
       {"replica-mood", &FaultInjector::changeReplicaBehavior},
+      {"replica-false-refusal", &FaultInjector::refuseAfterRun},
       {"replica-link", &FaultInjector::disruptReplicaLink},
       {"replica-limit", &FaultInjector::limitReplica},
       {"replica-leaves", &FaultInjector::drainReplica},
@@ -219,6 +221,23 @@
   });
 }
 
+void FaultInjector::refuseAfterRun() {
+  constexpr std::array Statuses{408, 429, 503};
+  const int Number = randomBetween(0, Fleet.replicaCount() - 1);
+  const int Status = Statuses[static_cast<std::size_t>(randomBetween(0, 2))];
+  auto &Replica = Fleet.replica(Number);
+  recordEvent("replica " + Replica.name() + " answers every second request " +
+              std::to_string(Status) + " after it has run");
+  Replica.FailureStatus = Status;
+  Replica.FailureInterval = 2;
+  Replica.CurrentBehavior = UsersReplica::Behavior::Failing;
+  scheduleUndo(1'000, 4'000, [&Replica] {
+    Replica.CurrentBehavior = UsersReplica::Behavior::Normal;
+    Replica.FailureInterval = 1;
+    Replica.FailureStatus = 500;
+  });
+}
+
 void FaultInjector::disruptReplicaLink() {
   const int Number = randomBetween(0, Fleet.replicaCount() - 1);
   disruptLink(Fleet.replicaLink(Number), "replica " + std::to_string(Number),
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -53,6 +53,9 @@
   void disruptStoreLink();
   void disruptVmStoreLink();
   void changeReplicaBehavior();
+  /// @brief Lets a replica answer part of what it has executed with a status
+  /// that promises the opposite.
+  void refuseAfterRun();
   void disruptReplicaLink();
   /// @brief Lets a replica state a rate limit, and checks at the end of the
   /// fault that all VMs together kept to it.
