store: a load goes on also after an end that was too great

What was seen: if the store has stated too great an end once and turns every second call away, a list of several pages was read from its first page again each time, and never to its end. What was known stayed in use, news of the list did not arrive.

Cause: a load goes on with the page that failed unless reads of the history have come further since, which was told by the next offset being behind the end of the load. After too great an end it is behind it from the beginning. The load now remembers the next offset of its beginning: it is begun anew only if the offset has risen above both.

Evidence: `BusyFeed.LoadGoesOnAfterAnEndThatWasTooGreat` fails without the change and passes with it; `LoadDoesNotGoOnBehindReadsOfTheHistory` and the other six still pass.

--- a/src/goldcrestnotch/store/keyed_feed.hpp
+++ b/src/goldcrestnotch/store/keyed_feed.hpp
@@ -194,9 +194,10 @@
   /// @brief A load of the newest records, as far as it has come.
   struct Load {
     Instant Begin;
-    std::uint64_t End;  ///< End of the partition as of the first page.
-    std::uint64_t Eras; ///< `ErasEntered` when it began.
-    NewestResult Page;  ///< The last page that was read.
+    std::uint64_t NextOffset; ///< That of the feed when it began.
+    std::uint64_t End;        ///< End of the partition as of the first page.
+    std::uint64_t Eras;       ///< `ErasEntered` when it began.
+    NewestResult Page;        ///< The last page that was read.
     std::set<std::string> Present; ///< Keys of all pages so far.
     bool KeysSkipped = false;
     bool Broken = false; ///< No page leads on though there are more.
@@ -206,8 +207,11 @@
   /// fails is where the next call goes on: a store that turns some calls away
   /// would otherwise keep long lists from being read at all.
   void load(boost::asio::yield_context Yield) {
-    // Reads of the history may have come further since.
-    const bool GoesOn = Unfinished && Unfinished->End >= NextOffset;
+    // Reads of the history may have come further since. The next offset is
+    // behind the end from the beginning if the store has stated a wrong end.
+    const bool GoesOn =
+        Unfinished &&
+        NextOffset <= std::max(Unfinished->End, Unfinished->NextOffset);
     auto Current = GoesOn ? std::move(*Unfinished) : beginLoad(Yield);
     Unfinished.reset();
     try {
@@ -232,7 +236,7 @@
     if (Page.Era != Era) {
       switchEra(Page.Era);
     }
-    Load Result{Begin, Page.End, ErasEntered, std::move(Page), {}};
+    Load Result{Begin, NextOffset, Page.End, ErasEntered, std::move(Page), {}};
     (void)applyPage(Result.Page, Result.Present);
     return Result;
   }
--- a/test/goldcrestnotch/store/keyed_feed_test.cpp
+++ b/test/goldcrestnotch/store/keyed_feed_test.cpp
@@ -306,6 +306,17 @@
   EXPECT_EQ(Feed.nextOffset(), Log.end());
 }
 
+// Each load began anew, so a list of several pages was never read to its end.
+TEST_F(BusyFeed, LoadGoesOnAfterAnEndThatWasTooGreat) {
+  Log.OldRecords = 1'000;
+  load();
+  Log.OldRecords = 0;
+  Log.Keys.emplace_back("f");
+  load();
+  EXPECT_EQ(Feed.nextOffset(), Log.end());
+  EXPECT_EQ(Feed.value("f"), "value");
+}
+
 TEST_F(BusyFeed, LoadDoesNotGoOnInAnotherEra) {
   EXPECT_FALSE(poll());
   Log.Keys.erase(Log.Keys.begin());
