--- a/src/goldcrestnotch/platform/log_client.hpp
+++ b/src/goldcrestnotch/platform/log_client.hpp
@@ -19,8 +19,8 @@
 /// @brief A record of the log.
 struct LogRecord {
   std::uint64_t Offset = 0;
-  LogTime When{}; ///< Time of the append, by the clock of the log service.
-  std::string Body;
+  LogTime When{};   ///< Time of the append, by the clock of the log service.
+  std::string Body; ///< Empty if the record can't be read.
 };
 
 /// @brief Consecutive records of a stream, in order of their offsets.
