--- a/standin/users_replica.hpp
+++ b/standin/users_replica.hpp
@@ -109,7 +109,7 @@
   std::atomic<int> RefusalStatus{503};
   /// Status of the responses to requests that fail after they were executed.
   std::atomic<int> FailureStatus{500};
-  /// While failing, every request with this number fails, the others do not.
+  /// While failing, one of so many requests fails.
   std::atomic<int> FailureInterval{1};
   /// Seconds after which failed requests may come again; none if zero.
   std::atomic<double> FailureRetryAfterS{0};
