--- a/test/platform/false_refusal_test.cpp
+++ b/test/platform/false_refusal_test.cpp
@@ -48,8 +48,7 @@
   Fleet TestFleet;
 };
 
-// The caller of an order that had run was told that it had not, sent it again,
-// and it ran twice.
+// A caller was told that an order had not run, and sent it again: it ran twice.
 TEST_P(PlatformFalseRefusal, IsNotPassedOnForAnOrder) {
   expectNoPromise(Order);
 }
--- a/test/platform/target_notice_test.cpp
+++ b/test/platform/target_notice_test.cpp
@@ -141,8 +141,7 @@
             static_cast<std::size_t>(Limit));
 }
 
-// A target that had executed the request and asked for time got the next ones
-// as before.
+// A target that failed a request and asked for time got the next ones at once.
 TEST_F(PlatformTargetNotice, RetryAfterOfAFailedRequestIsKept) {
   auto &Failing = TestFleet.replica(0);
   Failing.FailureStatus = 503;
