Daemon: state the sources that it was built from

Operators could not tell from its logs or metrics which build a daemon is: a fleet in the middle of an upgrade, or a build folder that kept an earlier daemon, looked like any other.

`vm.started`, `vm.listening`, `build_info{sources}` and `--version` state a digest of the sources.

--- a/app/goldcrestnotchd/main.cpp
+++ b/app/goldcrestnotchd/main.cpp
@@ -9,6 +9,7 @@
 #include <boost/program_options.hpp>
 #include <boost/system/system_error.hpp>
 
+#include "goldcrestnotch/core/source_digest.hpp"
 #include "goldcrestnotch/kernel/kernel.hpp"
 #include "goldcrestnotch/kernel/process_setup.hpp"
 #include "goldcrestnotch/settings/settings.hpp"
@@ -62,7 +63,8 @@
     return 0;
   }
   if (Chosen.contains("version")) {
-    std::cout << "goldcrestnotchd " GOLDCRESTNOTCH_VERSION "\n";
+    std::cout << "goldcrestnotchd " GOLDCRESTNOTCH_VERSION ", sources "
+              << sourceDigest() << '\n';
     return 0;
   }
   if (Chosen.contains("platform")) {
--- a/src/goldcrestnotch/entry/entry.cpp
+++ b/src/goldcrestnotch/entry/entry.cpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "goldcrestnotch/core/source_digest.hpp"
 #include "goldcrestnotch/entry/answer.hpp"
 #include "goldcrestnotch/membership/membership.hpp"
 
@@ -56,7 +57,8 @@
   log(LogLevel::Info, "vm.listening",
       {{"entry",
         Host.settings().Entry.Address + ":" + std::to_string(Listener.port())},
-       {"holder", Host.self().str()}});
+       {"holder", Host.self().str()},
+       {"sources", std::string{sourceDigest()}}});
 }
 
 void Entry::drain() { Listener.drain(); }
--- a/test/platform/fleet.hpp
+++ b/test/platform/fleet.hpp
@@ -249,6 +249,17 @@
     Request.Path = Path;
     return send(Request, {address(Vm), Port});
   }
+  /// @brief Returns the last log line of a daemon about an event, or an empty
+  /// text.
+  [[nodiscard]] std::string lineOf(const std::string &Event, int Vm = 0) {
+    const auto Output = daemon(Vm).output();
+    const auto Found = Output.rfind("\"event\":\"" + Event + "\"");
+    if (Found == std::string::npos) {
+      return {};
+    }
+    const auto Begin = Output.rfind('\n', Found) + 1;
+    return Output.substr(Begin, Output.find('\n', Found) - Begin);
+  }
   /// @brief Polls a condition until it holds or a timeout expires.
   /// @return Whether the condition holds.
   template <typename Predicate>
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -11,6 +11,8 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include "goldcrestnotch/core/source_digest.hpp"
+
 namespace platform_test {
 namespace {
 
@@ -36,6 +38,18 @@
   EXPECT_EQ(TestFleet.runs(), 3U);
 }
 
+// A fleet of two builds could not be told apart in its logs.
+TEST(Platform, StatesTheSourcesThatItWasBuiltFrom) {
+  Fleet TestFleet;
+  ASSERT_TRUE(TestFleet.waitUntilReady());
+  const std::string Sources{sourceDigest()};
+  EXPECT_NE(TestFleet.lineOf("vm.started").find("\"sources\":\"" + Sources),
+            std::string::npos);
+  EXPECT_NE(TestFleet.get(Fleet::ReadyPort, "/metrics")
+                .Body.find("build_info{sources=\"" + Sources + "\"} 1"),
+            std::string::npos);
+}
+
 TEST(Platform, ReplicaLearnsTheWorkspaceAndNeverTheKey) {
   Fleet TestFleet{1};
   ASSERT_TRUE(TestFleet.waitUntilReady());
