proxy: log what targets stated about a request that was refused

If a caller is told that an order has not run and it has, no line names the statement that the VM relied on: `request.end` has the last target only, no statement, and shares its 40 lines a second with all other failures.

`request.refused`, with 20 lines a second of its own, lists for each attempt the target, the status, whether the response was signed, and how the attempt ended. `not_run_responses_total{status,sent}` counts the responses that make that promise, also those of the listener, by whether the request had been sent. What callers and targets get is unchanged.

--- a/src/goldcrestnotch/proxy/attempt_plan.hpp
+++ b/src/goldcrestnotch/proxy/attempt_plan.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 
 #include "goldcrestnotch/core/verdict.hpp"
 #include "goldcrestnotch/routing/configuration.hpp"
@@ -29,6 +30,38 @@
   CallerGone,       ///< The caller closed its connection.
 };
 
+/// @brief The text of a result in log lines.
+[[nodiscard]] constexpr std::string_view
+toString(AttemptResult Result) noexcept {
+  switch (Result) {
+  case AttemptResult::Completed:
+    return "completed";
+  case AttemptResult::Unreachable:
+    return "unreachable";
+  case AttemptResult::TargetLeft:
+    return "target_left";
+  case AttemptResult::Quarantined:
+    return "quarantined";
+  case AttemptResult::NotExecuted:
+    return "not_executed";
+  case AttemptResult::WrongTarget:
+    return "wrong_target";
+  case AttemptResult::Failed:
+    return "failed";
+  case AttemptResult::TargetSilent:
+    return "target_silent";
+  case AttemptResult::ResponseLost:
+    return "response_lost";
+  case AttemptResult::DeadlineExceeded:
+    return "deadline_exceeded";
+  case AttemptResult::ViewOutdated:
+    return "view_outdated";
+  case AttemptResult::CallerGone:
+    return "caller_gone";
+  }
+  return "unknown";
+}
+
 /// @brief The attempts of one request so far.
 struct AttemptState {
   routing::RetryClass RetryClass = routing::RetryClass::NotIdempotent;
--- a/src/goldcrestnotch/proxy/exchange.cpp
+++ b/src/goldcrestnotch/proxy/exchange.cpp
@@ -497,6 +497,11 @@
     internal::ActiveEntry Listed{Context, {Connection, Caller, Attempt.Sent}};
     Result = receiveResponse(*Remote, Listed);
   }
+  const bool Answered = Remote->headReceived();
+  SentAttempts.push_back(
+      {Target->Registered.Name, Answered ? Remote->status() : 0,
+       Answered && !Remote->fields()[Context.Headers.TargetSignature].empty(),
+       Result});
   if (Result == AttemptResult::NotExecuted ||
       Result == AttemptResult::WrongTarget) {
     State.MayHaveRun = MayHaveRunBefore;
@@ -1210,10 +1215,42 @@
        {"left_out", *Omitted}});
 }
 
+std::string Exchange::SentAttempt::str() const {
+  return Target.str() + ' ' + std::to_string(Status) + ' ' +
+         (Signed ? "signed " : "") + std::string{toString(Result)};
+}
+
+void Exchange::reportRefusal() const {
+  Context.countRefusal(ResponseStatus, State.Sent > 0);
+  if (State.Sent == 0) {
+    return;
+  }
+  const auto Omitted = Context.RefusalLines.admit(DecisionClock::now());
+  if (!Omitted) {
+    return;
+  }
+  std::string Statements;
+  for (const auto &Sent : SentAttempts) {
+    Statements += (Statements.empty() ? "" : ", ") + Sent.str();
+  }
+  log(LogLevel::Info, "request.refused",
+      {{"request",
+        std::string{view(Caller.request()[Context.Headers.AttemptId])}},
+       {"route", MatchedRoute->Name.str()},
+       {"status", static_cast<std::int64_t>(ResponseStatus)},
+       {"cause", Cause},
+       {"may_repeat", retryable(State)},
+       {"attempts", Statements},
+       {"left_out", *Omitted}});
+}
+
 void Exchange::logResult() const {
   if (Caller.unfinished()) {
     reportCut();
   }
+  if (promisesNotRun(ResponseStatus)) {
+    reportRefusal();
+  }
   Context.Measured.count(ResponseStatus != 0 && ResponseStatus < 300
                              ? "requests_total{outcome=\"ok\"}"
                              : "requests_total{outcome=\"" + Cause + "\"}");
--- a/src/goldcrestnotch/proxy/exchange.hpp
+++ b/src/goldcrestnotch/proxy/exchange.hpp
@@ -39,6 +39,16 @@
   void run();
 
 private:
+  /// @brief What a target stated about a request that was sent to it.
+  struct SentAttempt {
+    TargetId Target;
+    int Status;  ///< Of the response; zero if none arrived.
+    bool Signed; ///< The response has the signature of the target.
+    AttemptResult Result;
+
+    [[nodiscard]] std::string str() const;
+  };
+
   /// @brief Finds the route and service and sets the deadline.
   /// @return False if the request has been rejected.
   [[nodiscard]] bool route();
@@ -185,6 +195,9 @@
   void settle();
   /// @brief Counts and logs that the caller got a response without its end.
   void reportCut() const;
+  /// @brief Counts that the caller was told that the request has not run, and
+  /// logs what the targets stated if it had been sent.
+  void reportRefusal() const;
   /// @brief Counts and logs the result of the request.
   void logResult() const;
   /// @brief A randomized time after which a rejected caller may retry.
@@ -228,6 +241,7 @@
   AttemptState State;
   Replacement Next; ///< Is asked in place of a silent target.
   std::vector<TargetId> TriedTargets;
+  std::vector<SentAttempt> SentAttempts;
   /// Shortest time until a target could get the request; nothing unless a
   /// permit was refused or targets are paused, and no other one was left.
   std::optional<Millis> PermitWait;
--- a/src/goldcrestnotch/proxy/listener.cpp
+++ b/src/goldcrestnotch/proxy/listener.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "goldcrestnotch/core/verdict.hpp"
 #include "goldcrestnotch/proxy/exchange.hpp"
 #include "goldcrestnotch/proxy/wire_text.hpp"
 #include "goldcrestnotch/telemetry/log.hpp"
@@ -292,6 +293,9 @@
     break;
   }
   Context.Measured.count(internal::counterOf(Result));
+  if (promisesNotRun(Status)) {
+    Context.countRefusal(Status, false);
+  }
   logRequest(false,
              {{"status", static_cast<std::int64_t>(Status)}, {"cause", Cause}});
   const auto Deadline = DecisionClock::now() + internal::RejectTimeout;
--- a/src/goldcrestnotch/proxy/proxy_context.hpp
+++ b/src/goldcrestnotch/proxy/proxy_context.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <string>
 
 #include <boost/asio/io_context.hpp>
 
@@ -44,6 +45,8 @@
 
 /// Lines per second about responses that callers did not get whole.
 inline constexpr std::uint32_t MaxCutLines = 20;
+/// Lines per second about requests that were sent and then refused.
+inline constexpr std::uint32_t MaxRefusalLines = 20;
 
 /// @brief Shared state of the exchanges of a VM.
 struct ProxyContext {
@@ -97,9 +100,18 @@
   /// Of responses that callers did not get whole; lines about other requests
   /// must not use up their share.
   LineLimit CutLines{MaxCutLines};
+  LineLimit RefusalLines{MaxRefusalLines};
   LineLimit UnreadableFieldLines{MaxUnreadableLines}; ///< Of responses.
   std::mt19937_64 Random{std::random_device{}()};
 
+  /// @brief Counts a response whose status promises that its request has not
+  /// run.
+  /// @param Sent Whether the request had been sent to a target.
+  void countRefusal(int Status, bool Sent) {
+    Measured.count("not_run_responses_total{status=\"" +
+                   std::to_string(Status) + "\",sent=\"" +
+                   (Sent ? "yes" : "no") + "\"}");
+  }
   /// @brief Ends the attempts whose callers have no part of a response and
   /// whose targets have sent nothing that is not read yet, so that the callers
   /// are told before the process ends. No further attempt begins.
--- a/test/platform/false_refusal_test.cpp
+++ b/test/platform/false_refusal_test.cpp
@@ -132,6 +132,37 @@
   EXPECT_EQ(TestFleet.runs(), 0U);
 }
 
+// Logs could not tell which target had denied that it ran a request.
+TEST_P(PlatformTrueRefusal, IsLoggedWithWhatTheTargetsStated) {
+  ASSERT_EQ(TestFleet.call(Order).Status, 503);
+  const auto Stated = " " + std::to_string(GetParam()) + " not_executed";
+  EXPECT_TRUE(TestFleet.eventually([&] {
+    const auto Line = TestFleet.lineOf("request.refused");
+    return Line.find("\"request\":\"" + Order.AttemptId + "\"") !=
+               std::string::npos &&
+           Line.find("i-0" + Stated) != std::string::npos &&
+           Line.find("i-1" + Stated) != std::string::npos &&
+           Line.find("\"may_repeat\":false") != std::string::npos;
+  }));
+}
+
+TEST_P(PlatformTrueRefusal, IsCountedByWhetherTheRequestWasSent) {
+  const auto Counted = [this](const std::string &Labels) {
+    return TestFleet.get(Fleet::ReadyPort, "/metrics")
+               .Body.find("not_run_responses_total{" + Labels + "} 1") !=
+           std::string::npos;
+  };
+  for (int I = 0; I < TestFleet.replicaCount(); ++I) {
+    TestFleet.replica(I).RetryAfterS = 5;
+  }
+  ASSERT_EQ(TestFleet.call(Order).Status, 503);
+  EXPECT_TRUE(Counted(R"(status="503",sent="yes")"));
+  auto Second = Order;
+  Second.AttemptId += "-2";
+  ASSERT_EQ(TestFleet.call(Second).Status, 503); // All targets are paused.
+  EXPECT_TRUE(Counted(R"(status="503",sent="no")"));
+}
+
 INSTANTIATE_TEST_SUITE_P(Statuses, PlatformTrueRefusal,
                          testing::Values(503, 429, 400));
 
