--- a/test/platform/false_refusal_test.cpp
+++ b/test/platform/false_refusal_test.cpp
@@ -148,9 +148,11 @@
 
 TEST_P(PlatformTrueRefusal, IsCountedByWhetherTheRequestWasSent) {
   const auto Counted = [this](const std::string &Labels) {
-    return TestFleet.get(Fleet::ReadyPort, "/metrics")
-               .Body.find("not_run_responses_total{" + Labels + "} 1") !=
-           std::string::npos;
+    return TestFleet.eventually([&] {
+      return TestFleet.get(Fleet::ReadyPort, "/metrics")
+                 .Body.find("not_run_responses_total{" + Labels + "} 1") !=
+             std::string::npos;
+    });
   };
   for (int I = 0; I < TestFleet.replicaCount(); ++I) {
     TestFleet.replica(I).RetryAfterS = 5;
--- a/test/platform/fleet_test.cpp
+++ b/test/platform/fleet_test.cpp
@@ -43,8 +43,10 @@
   Fleet TestFleet;
   ASSERT_TRUE(TestFleet.waitUntilReady());
   const std::string Sources{sourceDigest()};
-  EXPECT_NE(TestFleet.lineOf("vm.started").find("\"sources\":\"" + Sources),
-            std::string::npos);
+  EXPECT_TRUE(TestFleet.eventually([&] {
+    return TestFleet.lineOf("vm.started").find("\"sources\":\"" + Sources) !=
+           std::string::npos;
+  }));
   EXPECT_NE(TestFleet.get(Fleet::ReadyPort, "/metrics")
                 .Body.find("build_info{sources=\"" + Sources + "\"} 1"),
             std::string::npos);
